Add the design page and the base, settings and wire packages

The design places authority for a workspace's keys, rate and idempotency records with the coordinator group of its home region, so that a withdrawn key stops without polling and service does not depend on control.

The wire package carries calls as nghttp2 streams over mutual TLS.

--- /dev/null
+++ b/src/base/clock.h
@@ -0,0 +1,48 @@
+/// The clock interface, the process clock and a clock that tests advance by hand.
+#pragma once
+
+#include <chrono>
+
+namespace corianderhoist {
+
+using steady_time = std::chrono::steady_clock::time_point;
+using system_time = std::chrono::system_clock::time_point;
+
+/// Source of time. Decisions use `Now` (never jumps back); `WallNow` is for people and expiry
+/// dates.
+class clock_source {
+ public:
+  virtual ~clock_source() = default;
+  virtual steady_time Now() const = 0;
+  virtual system_time WallNow() const = 0;
+};
+
+/// The clocks of this machine.
+class process_clock final : public clock_source {
+ public:
+  steady_time Now() const override { return std::chrono::steady_clock::now(); }
+  system_time WallNow() const override { return std::chrono::system_clock::now(); }
+};
+
+/// A clock that stands still until `Advance` is called. Not thread safe.
+class manual_clock final : public clock_source {
+ public:
+  steady_time Now() const override { return now_; }
+  system_time WallNow() const override { return wall_; }
+
+  /// Moves both clocks forward by `step`.
+  void Advance(std::chrono::nanoseconds step) {
+    now_ += step;
+    wall_ += std::chrono::duration_cast<std::chrono::system_clock::duration>(step);
+  }
+  /// Makes the wall clock jump, in either direction.
+  void JumpWall(std::chrono::nanoseconds step) {
+    wall_ += std::chrono::duration_cast<std::chrono::system_clock::duration>(step);
+  }
+
+ private:
+  steady_time now_ = steady_time(std::chrono::hours(1));
+  system_time wall_ = system_time(std::chrono::hours(24 * 365 * 50));
+};
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/rules/rule_set.h
@@ -0,0 +1,73 @@
+/// The typed form of a rules file.
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace corianderhoist {
+
+/// A region, or one data centre of it; an empty data_centre stands for the whole region.
+struct place {
+  std::string region;
+  std::string data_centre;
+
+  auto operator<=>(const place&) const = default;
+};
+
+/// `service NAME floor=PERCENT`
+struct service_rule {
+  std::string name;
+  std::uint32_t floor_percent = 0;  ///< Share of the announced capacity that ejections must leave.
+  std::string requested_by;
+
+  auto operator<=>(const service_rule&) const = default;
+};
+
+/// `workspace NAME places=... rate=N/s burst=N [services=...]`
+struct workspace_rule {
+  std::string name;
+  std::vector<place>
+      places;  ///< In order of preference; the first one's region is the home region.
+  std::uint64_t rate_per_second = 0;
+  std::uint64_t burst = 0;
+  std::set<std::string> services;  ///< Empty: all services.
+  std::string requested_by;
+
+  auto operator<=>(const workspace_rule&) const = default;
+  const std::string& HomeRegion() const { return places.front().region; }
+};
+
+enum class route_access { kKeyed, kOpen };
+enum class route_run { kIdempotent, kOnce };
+
+/// `route METHODS PATH_PREFIX service=NAME ...`
+struct route_rule {
+  std::set<std::string> methods;
+  std::string path_prefix;  ///< Begins with "/"; matches whole path segments.
+  std::string service;
+  route_access access = route_access::kKeyed;
+  std::vector<place> places;  ///< Of open routes only.
+  route_run run = route_run::kOnce;
+  std::chrono::milliseconds timeout{10'000};
+  std::string requested_by;
+
+  auto operator<=>(const route_rule&) const = default;
+  /// "GET,HEAD /stock": identifies the route within a rule set.
+  std::string Id() const;
+};
+
+/// All rules that are in force together. Keys are names, for routes `Id()`.
+struct rule_set {
+  std::map<std::string, service_rule> services;
+  std::map<std::string, workspace_rule> workspaces;
+  std::map<std::string, route_rule> routes;
+
+  auto operator<=>(const rule_set&) const = default;
+};
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/wire/io_loop.h
@@ -0,0 +1,38 @@
+/// A thread with a Qt event loop, on which sockets and timers live.
+#pragma once
+
+#include <QObject>
+#include <QThread>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace corianderhoist {
+
+/// Owns one thread. All members are thread safe. The destructor ends the loop and joins the thread;
+/// tasks not yet started are dropped.
+class io_loop {
+ public:
+  explicit io_loop(const std::string& name);
+  ~io_loop();
+  io_loop(const io_loop&) = delete;
+  io_loop& operator=(const io_loop&) = delete;
+
+  /// Runs `task` on the thread, after the tasks that were posted before.
+  void Post(std::function<void()> task);
+  /// Runs `task` on the thread once `delay` has passed.
+  void After(std::chrono::milliseconds delay, std::function<void()> task);
+  /// Runs `task` on the thread and waits for its end. Must not be called on the thread itself.
+  void RunAndWait(const std::function<void()>& task);
+  bool IsCurrent() const;
+  /// An object that lives on the thread, for use as context of signal connections.
+  QObject* Context() const { return context_.get(); }
+
+ private:
+  QThread thread_;
+  std::unique_ptr<QObject> context_;
+};
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/wire/rpc_server.cpp
@@ -0,0 +1,215 @@
+#include "base/log.h"
+#include "wire/http2_session.h"
+#include "wire/rpc.h"
+
+#include <QHostAddress>
+#include <QSslError>
+#include <QTcpServer>
+
+#include <cassert>
+
+namespace corianderhoist {
+namespace {
+
+constexpr std::string_view kPathPrefix = "/v1/";
+constexpr std::chrono::seconds kHandshakeTimeout(5);
+constexpr int kStatusOk = 200;
+constexpr int kStatusFailed = 500;
+
+struct method_entry {
+  std::set<std::string> roles;
+  rpc_server::raw_handler handler;
+};
+using method_table = std::map<std::string, method_entry, std::less<>>;
+
+// Hands raw descriptors to the caller, so that each socket is created on its own thread.
+class descriptor_server final : public QTcpServer {
+ public:
+  std::function<void(qintptr)> on_descriptor;
+
+ protected:
+  void incomingConnection(qintptr descriptor) override { on_descriptor(descriptor); }
+};
+
+// One accepted connection; lives on the thread of `loop`.
+class server_connection : public std::enable_shared_from_this<server_connection> {
+ public:
+  server_connection(io_loop& loop,
+                    const method_table& methods,
+                    std::function<void(server_connection*)> on_end)
+      : loop_(loop), methods_(methods), on_end_(std::move(on_end)) {}
+
+  // The socket reports its own destruction as a disconnect, which must not start another end.
+  ~server_connection() { has_ended_ = true; }
+  server_connection(const server_connection&) = delete;
+  server_connection& operator=(const server_connection&) = delete;
+
+  void Start(qintptr descriptor, const QSslConfiguration& configuration) {
+    socket_ = std::make_unique<QSslSocket>();
+    QObject* context = socket_.get();
+    QObject::connect(socket_.get(), &QSslSocket::encrypted, context, [this] { OnEncrypted(); });
+    QObject::connect(socket_.get(), &QSslSocket::disconnected, context, [this] { End("closed"); });
+    QObject::connect(socket_.get(), &QSslSocket::errorOccurred, context,
+                     [this] { End(socket_->errorString().toStdString()); });
+    socket_->setSocketDescriptor(descriptor);
+    socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    socket_->setSslConfiguration(configuration);
+    socket_->startServerEncryption();
+    loop_.After(kHandshakeTimeout, [weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (self && !self->session_) {
+        self->End("no handshake in time");
+      }
+    });
+  }
+
+ private:
+  void OnEncrypted() {
+    context_.peer = IdentityOf(*socket_);
+    session_ = std::make_unique<http2_session>(
+        *socket_, http2_session::side::kServer,
+        http2_session::events{[this](std::int32_t stream, std::string head, std::string body) {
+                                Dispatch(stream, head, body);
+                              },
+                              [](std::int32_t) {},
+                              [this](const std::string& cause) { End(cause); }});
+  }
+
+  void Dispatch(std::int32_t stream, const std::string& path, const std::string& body) {
+    auto respond = [&loop = loop_, weak = weak_from_this(), stream](rpc_result<std::string> reply) {
+      loop.Post([weak, stream, reply = std::move(reply)]() mutable {
+        if (const auto self = weak.lock()) {
+          self->Answer(stream, std::move(reply));
+        }
+      });
+    };
+    const auto found = path.starts_with(kPathPrefix)
+                           ? methods_.find(std::string_view(path).substr(kPathPrefix.size()))
+                           : methods_.end();
+    if (found == methods_.end()) {
+      respond(rpc_failure{error_kind::kNotFound, "unknown method " + path, {}});
+      return;
+    }
+    if (!found->second.roles.contains(context_.peer.role)) {
+      respond(rpc_failure{
+          error_kind::kForbidden, "role '" + context_.peer.role + "' may not call " + path, {}});
+      return;
+    }
+    found->second.handler(context_, body, std::move(respond));
+  }
+
+  void Answer(std::int32_t stream, rpc_result<std::string> reply) {
+    if (!session_) {
+      return;
+    }
+    if (const auto* failure = std::get_if<rpc_failure>(&reply)) {
+      session_->SubmitAnswer(stream, kStatusFailed, Encode(*failure));
+    } else {
+      session_->SubmitAnswer(stream, kStatusOk, std::move(std::get<std::string>(reply)));
+    }
+  }
+
+  void End(const std::string& cause) {
+    if (std::exchange(has_ended_, true)) {
+      return;
+    }
+    if (context_.peer.name.empty()) {
+      log_event(log_level::kWarning, "peer_refused")
+          .Field("peer", socket_->peerAddress().toString().toStdString())
+          .Field("cause", cause);
+    }
+    // The end may be reported from inside a socket signal, so destruction waits for the event loop.
+    loop_.Post([self = shared_from_this()] {
+      self->session_.reset();
+      self->socket_.reset();
+      self->on_end_(self.get());
+    });
+  }
+
+  io_loop& loop_;
+  const method_table& methods_;
+  std::function<void(server_connection*)> on_end_;
+  std::unique_ptr<QSslSocket> socket_;
+  std::unique_ptr<http2_session> session_;
+  rpc_context context_;
+  bool has_ended_ = false;
+};
+
+struct worker {
+  explicit worker(const std::string& name) : loop(name) {}
+
+  std::map<server_connection*, std::shared_ptr<server_connection>> connections;
+  io_loop loop;
+};
+
+}  // namespace
+
+struct rpc_server::state {
+  std::shared_ptr<tls_identity> identity;
+  method_table methods;
+  std::unique_ptr<descriptor_server> listener;
+  std::unique_ptr<io_loop> accept_loop;
+  std::vector<std::unique_ptr<worker>> workers;
+  std::size_t next_worker = 0;
+
+  void Accept(qintptr descriptor) {
+    worker& chosen = *workers[next_worker++ % workers.size()];
+    chosen.loop.Post([this, &chosen, descriptor] {
+      auto connection = std::make_shared<server_connection>(
+          chosen.loop, methods,
+          [&chosen](server_connection* ended) { chosen.connections.erase(ended); });
+      chosen.connections.emplace(connection.get(), connection);
+      connection->Start(descriptor, identity->Current());
+    });
+  }
+};
+
+rpc_server::rpc_server(std::shared_ptr<tls_identity> identity, int thread_count)
+    : state_(std::make_unique<state>()) {
+  assert(thread_count > 0 && "a server needs a thread");
+  state_->identity = std::move(identity);
+  for (int i = 0; i < thread_count; ++i) {
+    state_->workers.push_back(std::make_unique<worker>("rpc" + std::to_string(i)));
+  }
+}
+
+rpc_server::~rpc_server() {
+  Close();
+}
+
+void rpc_server::Register(std::string method, std::set<std::string> roles, raw_handler handler) {
+  assert(!state_->listener && "methods must be registered before listening");
+  state_->methods.emplace(std::move(method), method_entry{std::move(roles), std::move(handler)});
+}
+
+result<std::uint16_t> rpc_server::Listen(const endpoint& address) {
+  state_->accept_loop = std::make_unique<io_loop>("rpc-accept");
+  std::uint16_t port = 0;
+  std::string cause;
+  state_->accept_loop->RunAndWait([&] {
+    state_->listener = std::make_unique<descriptor_server>();
+    state_->listener->on_descriptor = [this](qintptr descriptor) { state_->Accept(descriptor); };
+    if (state_->listener->listen(QHostAddress(QString::fromStdString(address.ip)), address.port)) {
+      port = state_->listener->serverPort();
+    } else {
+      cause = state_->listener->errorString().toStdString();
+    }
+  });
+  if (port == 0) {
+    return Fail(error_kind::kUnreachable,
+                "cannot listen on " + FormatEndpoint(address) + ": " + cause);
+  }
+  return port;
+}
+
+void rpc_server::Close() {
+  if (state_->accept_loop) {
+    state_->accept_loop->RunAndWait([this] { state_->listener.reset(); });
+    state_->accept_loop.reset();
+  }
+  for (const auto& each : state_->workers) {
+    each->loop.RunAndWait([&each] { each->connections.clear(); });
+  }
+}
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/tests/support/test_fleet_keys.h
@@ -0,0 +1,44 @@
+/// Certificates for tests, in a temporary folder.
+#pragma once
+
+#include "wire/certificates.h"
+#include "wire/tls_identity.h"
+
+#include <filesystem>
+#include <memory>
+#include <string>
+
+namespace corianderhoist {
+
+/// A certificate authority of its own with one folder for its files, removed at the end.
+class test_fleet_keys {
+ public:
+  test_fleet_keys();
+  ~test_fleet_keys();
+  test_fleet_keys(const test_fleet_keys&) = delete;
+  test_fleet_keys& operator=(const test_fleet_keys&) = delete;
+
+  /// Issues a certificate and returns its files. Issuing a name again replaces its files.
+  tls_files Issue(const std::string& role,
+                  const std::string& name,
+                  certificate_validity validity = {});
+  std::shared_ptr<tls_identity> Identity(const std::string& role,
+                                         const std::string& name,
+                                         certificate_validity validity = {});
+  const std::filesystem::path& Folder() const { return folder_; }
+
+ private:
+  std::filesystem::path folder_;
+  key_pair_pem authority_;
+};
+
+/// Returns the value of a result, or fails the test with its error.
+template <class Function>
+auto Expect(Function&& function) {
+  return Recover(
+      std::forward<Function>(function), [](const error& failure) -> decltype(function().value()) {
+        throw std::runtime_error(std::string(AnswerFor(failure.kind).name) + ": " + failure.detail);
+      });
+}
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/tests/support/test_runner.cpp
@@ -0,0 +1,52 @@
+// Entry point of every test executable: runs all registered suites, or those whose name contains
+// the first argument, and closes on a line that counts passed and failed tests.
+#include <cppunit/BriefTestProgressListener.h>
+#include <cppunit/Exception.h>
+#include <cppunit/TestFailure.h>
+#include <cppunit/TestResult.h>
+#include <cppunit/TestResultCollector.h>
+#include <cppunit/TestRunner.h>
+#include <cppunit/extensions/TestFactoryRegistry.h>
+
+#include "base/log.h"
+
+#include <QCoreApplication>
+
+#include <iostream>
+#include <string>
+
+namespace {
+
+// Adds the tests below `test` whose name contains `pattern`.
+void AddMatching(CppUnit::TestRunner& runner, CppUnit::Test* test, const std::string& pattern) {
+  if (test->getName().find(pattern) != std::string::npos) {
+    runner.addTest(test);
+    return;
+  }
+  for (int i = 0; i < test->getChildTestCount(); ++i) {
+    AddMatching(runner, test->getChildTestAt(i), pattern);
+  }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const QCoreApplication application(argc, argv);
+  corianderhoist::ConfigureLog("test", corianderhoist::log_level::kError);
+  CppUnit::TestResult result;
+  CppUnit::TestResultCollector collector;
+  CppUnit::BriefTestProgressListener progress;
+  result.addListener(&collector);
+  result.addListener(&progress);
+  CppUnit::TestRunner runner;
+  AddMatching(runner, CppUnit::TestFactoryRegistry::getRegistry().makeTest(),
+              argc > 1 ? argv[1] : "");
+  runner.run(result);
+  for (const CppUnit::TestFailure* failure : collector.failures()) {
+    std::cout << "\nFAILED " << failure->failedTestName() << "\n"
+              << failure->thrownException()->message().details() << "\n";
+  }
+  const auto failed = static_cast<int>(collector.testFailuresTotal());
+  std::cout << collector.runTests() - failed << " passed, " << failed << " failed" << std::endl;
+  return failed == 0 ? 0 : 1;
+}
