--- a/src/control/configuration.h
+++ b/src/control/configuration.h
@@ -32,6 +32,9 @@
   }
 };
 
+/// The public name of a key: the first 14 hexadecimal digits of its hash.
+std::string KeyIdOf(const digest& key_hash);
+
 /// One accepted change: what leads from version - 1 to version.
 struct config_change {
   std::uint64_t version = 0;
@@ -123,11 +126,15 @@
   /// (`config_behind`).
   std::uint64_t RoutingVersion() const { return routing_version_; }
   const rule_set& Rules() const { return rules_; }
+  /// The keys in use; a withdrawn key is dropped, so that the state does not grow with history.
   const std::map<digest, key_record>& Keys() const { return keys_; }
 
   /// Returns the key in use with this hash, or null when it is unknown or withdrawn.
   const key_record* FindKey(const digest& key_hash) const;
 
+  /// Returns the key in use with this public name, or null. The name begins the key's hash.
+  const key_record* FindKeyById(std::string_view key_id) const;
+
   /// Applies the change that follows the current version. Fails with `kVersionConflict` for another
   /// version and `kInvalidRules` for lines that do not fit; then nothing has changed.
   result<void> Apply(const config_change& change);
--- a/src/rules/rule_set.h
+++ b/src/rules/rule_set.h
@@ -45,6 +45,11 @@
 enum class route_access { kKeyed, kOpen };
 enum class route_run { kIdempotent, kOnce };
 
+inline constexpr std::chrono::milliseconds kDefaultRouteTimeout{10'000};
+
+/// Idempotent when every method is GET, HEAD or OPTIONS.
+route_run DefaultRun(const std::set<std::string>& methods);
+
 /// `route METHODS PATH_PREFIX service=NAME ...`
 struct route_rule {
   std::set<std::string> methods;
@@ -53,7 +58,7 @@
   route_access access = route_access::kKeyed;
   std::vector<place> places;  ///< Of open routes only.
   route_run run = route_run::kOnce;
-  std::chrono::milliseconds timeout{10'000};
+  std::chrono::milliseconds timeout = kDefaultRouteTimeout;
   std::string requested_by;
 
   auto operator<=>(const route_rule&) const = default;
--- /dev/null
+++ b/src/rules/rule_text.cpp
@@ -0,0 +1,77 @@
+#include "base/duration.h"
+#include "rules/rule_line.h"
+
+#include <algorithm>
+
+namespace corianderhoist {
+namespace {
+
+template <class Texts>
+std::string JoinTexts(const Texts& texts) {
+  std::string joined;
+  for (const auto& text : texts) {
+    if (!joined.empty()) {
+      joined += ',';
+    }
+    joined += text;
+  }
+  return joined;
+}
+
+std::string JoinPlaces(const std::vector<place>& places) {
+  std::string joined;
+  for (const place& each : places) {
+    if (!joined.empty()) {
+      joined += ',';
+    }
+    joined += each.region;
+    if (!each.data_centre.empty()) {
+      joined += '/' + each.data_centre;
+    }
+  }
+  return joined;
+}
+
+}  // namespace
+
+std::string route_rule::Id() const {
+  return JoinTexts(methods) + ' ' + path_prefix;
+}
+
+route_run DefaultRun(const std::set<std::string>& methods) {
+  const bool is_safe = std::all_of(methods.begin(), methods.end(), [](const std::string& method) {
+    return method == "GET" || method == "HEAD" || method == "OPTIONS";
+  });
+  return is_safe ? route_run::kIdempotent : route_run::kOnce;
+}
+
+std::string FormatRule(const service_rule& value) {
+  return "service " + value.name + " floor=" + std::to_string(value.floor_percent) + " # " +
+         value.requested_by;
+}
+
+std::string FormatRule(const workspace_rule& value) {
+  std::string line = "workspace " + value.name + " places=" + JoinPlaces(value.places) +
+                     " rate=" + std::to_string(value.rate_per_second) +
+                     "/s burst=" + std::to_string(value.burst);
+  if (!value.services.empty()) {
+    line += " services=" + JoinTexts(value.services);
+  }
+  return line + " # " + value.requested_by;
+}
+
+std::string FormatRule(const route_rule& value) {
+  std::string line = "route " + value.Id() + " service=" + value.service;
+  if (value.access == route_access::kOpen) {
+    line += " access=open places=" + JoinPlaces(value.places);
+  }
+  if (value.run != DefaultRun(value.methods)) {
+    line += value.run == route_run::kOnce ? " run=once" : " run=idempotent";
+  }
+  if (value.timeout != kDefaultRouteTimeout) {
+    line += " timeout=" + FormatDuration(value.timeout);
+  }
+  return line + " # " + value.requested_by;
+}
+
+}  // namespace corianderhoist
