Add the coordinator's decisions, region state and service

Entry VMs need one place per region that admits a request, leases a slot and keeps orders from running twice. The decision modules (rate ledger, fair queue, upstream directory, slot table, health judge, crash registry, record store) are pure classes that take the time as an argument; coordinator_core joins them in the order of checks of the design, and region_state is the replicated part.

Buckets of a new leader: starting empty refuses small workspaces that are within their rate. The log therefore holds for each workspace the tokens that its leader will not go below (three quarters of the burst without an entry), lowered ahead of use and raised later; a new leader starts with them. Logging each admission or a reservation per interval was ruled out: it writes for every active workspace, while this writes only when a level crosses a quarter.

Ruled out for the time of the region: wall clocks (they jump). Commands carry the time elapsed by the leader's steady clock.

--- /dev/null
+++ b/src/coordinator/config_follower.h
@@ -0,0 +1,47 @@
+/// Takes the configuration from control into a region's log.
+#pragma once
+
+#include "base/clock.h"
+#include "coordinator/log_writer.h"
+#include "coordinator/region_state.h"
+#include "wire/daemon.h"
+#include "wire/rpc.h"
+
+#include <QJsonObject>
+
+#include <chrono>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace corianderhoist {
+
+/// While this member leads, keeps one long poll `config.fetch` open to a control VM, commits what
+/// arrives and reports the committed version with `config.ack`. Any control VM may answer; after a
+/// failure the next one is asked. Lives on the thread of `loop`.
+class config_follower {
+ public:
+  config_follower(io_loop& loop,
+                  std::shared_ptr<tls_identity> identity,
+                  const std::vector<named_endpoint>& control,
+                  std::string region,
+                  region_state& state,
+                  region_log& log,
+                  std::shared_ptr<log_writer> writer,
+                  const clock_source& clock);
+  /// Must not run on the thread of the loop.
+  ~config_follower();
+  config_follower(const config_follower&) = delete;
+  config_follower& operator=(const config_follower&) = delete;
+
+  void Start();
+  /// State for dumps; may be called from any thread.
+  QJsonObject Dump();
+
+ private:
+  struct follower;
+  std::shared_ptr<follower> follower_;
+};
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/coordinator/coordinator_acquire.cpp
@@ -0,0 +1,452 @@
+// The checks of `coordinator.acquire`, in their order: lease, configuration, key, blocked requests,
+// idempotency record, rate; then the slot, and for an order the commit of its record.
+#include "coordinator/coordinator_core.h"
+#include "coordinator/lease_id.h"
+#include "observe/metrics.h"
+
+#include <algorithm>
+
+namespace corianderhoist {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kLongestTokenWait(50);
+constexpr milliseconds kSuspectRetry(10);
+constexpr char kSeparator = '\x1e';
+
+std::string FormatAdmission(const std::string& region,
+                            std::uint64_t term,
+                            std::uint64_t number,
+                            const acquire_request& request) {
+  std::string text = region;
+  for (const std::string& each : {std::to_string(term), std::to_string(number), request.request_id,
+                                  request.workspace, request.service}) {
+    text += kSeparator;
+    text += each;
+  }
+  return text;
+}
+
+// The entry VM is authenticated by its certificate; what is checked here is that it has not mixed
+// up its requests.
+bool MatchesAdmission(const std::string& admission, const acquire_request& request) {
+  std::string ending;
+  for (const std::string* each : {&request.request_id, &request.workspace, &request.service}) {
+    ending += kSeparator;
+    ending += *each;
+  }
+  return admission.ends_with(ending);
+}
+
+bool IsOrder(const acquire_request& request, bool is_keyed) {
+  return is_keyed && !request.idempotency_key.empty();
+}
+
+rpc_failure Failure(error_kind kind, std::string detail) {
+  return {kind, std::move(detail), {}};
+}
+
+std::vector<place> PlacesOf(const configuration& config, const acquire_request& request) {
+  if (request.workspace.empty()) {
+    const auto route = config.Rules().routes.find(request.route_id);
+    return route != config.Rules().routes.end() && route->second.access == route_access::kOpen
+               ? route->second.places
+               : std::vector<place>();
+  }
+  const auto workspace = config.Rules().workspaces.find(request.workspace);
+  return workspace == config.Rules().workspaces.end() ? std::vector<place>()
+                                                      : workspace->second.places;
+}
+
+}  // namespace
+
+void coordinator_core::Acquire(acquire_request request, rpc_callback<acquire_reply> reply) {
+  if (!EnsureStarted()) {
+    reply(NotLeader());
+    return;
+  }
+  if (is_draining_) {
+    reply(rpc_failure{error_kind::kNotLeader, "this coordinator is shutting down", {}});
+    return;
+  }
+  auto subject = std::make_shared<call>();
+  subject->term = term_.load();
+  subject->started = clock_.Now();
+  subject->deadline = subject->started + request.remaining;
+  subject->request = std::move(request);
+  subject->reply = std::move(reply);
+  if (std::optional<rpc_failure> failure = CheckRules(*subject)) {
+    Refuse(subject, std::move(*failure));
+    return;
+  }
+  const std::string session = subject->request.entry_vm + '/' + subject->request.session;
+  sessions_.With(session, [&](session_table& table) { table.Touch(session, subject->started); });
+  if (AnswerRepeated(subject)) {
+    return;
+  }
+  if (subject->is_home) {
+    CheckHome(subject);
+    return;
+  }
+  const std::string& admission = subject->request.admission;
+  const bool is_fresh = admissions_.With(admission, [&](admission_book& admissions) {
+    return admissions.Use(admission, subject->started);
+  });
+  if (!is_fresh || !MatchesAdmission(admission, subject->request)) {
+    Refuse(subject, Failure(error_kind::kForbidden, "the admission is not valid for this request"));
+    return;
+  }
+  SeekSlot(subject);
+}
+
+std::optional<rpc_failure> coordinator_core::CheckRules(call& subject) const {
+  const acquire_request& request = subject.request;
+  subject.is_keyed = !request.workspace.empty();
+  return state_.WithConfig([&](const configuration& config) -> std::optional<rpc_failure> {
+    if (request.config_version < config.RoutingVersion()) {
+      return Failure(error_kind::kConfigBehind,
+                     "the routes changed in version " + std::to_string(config.RoutingVersion()));
+    }
+    if (subject.is_keyed && request.admission.empty()) {
+      const key_record* key = config.FindKey(request.key_hash);
+      if (key == nullptr || key->workspace != request.workspace) {
+        return Failure(error_kind::kKeyUnknown, "the key is unknown or withdrawn");
+      }
+    }
+    subject.places = PlacesOf(config, request);
+    if (subject.places.empty()) {
+      return Failure(error_kind::kNoPlace, "no rule allows this request a place");
+    }
+    if (subject.is_keyed) {
+      const workspace_rule& rule = config.Rules().workspaces.at(request.workspace);
+      if (!rule.services.empty() && !rule.services.contains(request.service)) {
+        return Failure(error_kind::kServiceForbidden,
+                       "the workspace may not use service '" + request.service + "'");
+      }
+      subject.limit = {rule.rate_per_second, rule.burst};
+    }
+    subject.is_home = request.admission.empty();
+    if (subject.is_home && subject.places.front().region != region_) {
+      return Failure(error_kind::kConfigBehind,
+                     "the home region of the request is '" + subject.places.front().region + "'");
+    }
+    return std::nullopt;
+  });
+}
+
+// The first decision stands while its lease runs, so that a call that is sent again after a lost
+// reply takes no second slot and no second token.
+bool coordinator_core::AnswerRepeated(const call_ptr& subject) {
+  std::optional<slot_lease> running;
+  std::string address;
+  WithBoard(subject->request.service, [&](service_board& board, board_effects&) {
+    const slot_lease* found = board.FindLeaseOfRequest(subject->request.request_id);
+    if (found != nullptr) {
+      running = *found;
+      address = board.AddressOf(found->upstream);
+    }
+  });
+  if (!running) {
+    return false;
+  }
+  OnSlot(subject, slot_grant{std::move(*running), std::move(address)});
+  return true;
+}
+
+void coordinator_core::CheckHome(const call_ptr& subject) {
+  const acquire_request& request = subject->request;
+  if (state_.IsBlocked(request.fingerprint)) {
+    Refuse(subject, Failure(error_kind::kRequestBlocked,
+                            "requests with this content have crashed upstreams"));
+    return;
+  }
+  const steady_time now = clock_.Now();
+  bool may_start = true;
+  crashes_.With(ToHex(request.fingerprint), [&](crash_registry& crashes) {
+    subject->is_suspect = crashes.IsSuspect(request.fingerprint, now);
+    may_start = crashes.TryStart(request.fingerprint, request.request_id, now, subject->deadline);
+  });
+  if (!may_start) {
+    if (now + kSuspectRetry >= subject->deadline) {
+      Refuse(subject, Failure(error_kind::kQueueTimeout,
+                              "another request with this content is running alone"));
+      return;
+    }
+    after_(kSuspectRetry, [self = shared_from_this(), subject] { self->CheckHome(subject); });
+    return;
+  }
+  if (IsOrder(request, subject->is_keyed)) {
+    const begin_result met = state_.CheckRecord(
+        {request.workspace, request.idempotency_key, request.body_digest, request.request_id, {}});
+    if (met.verdict != record_verdict::kBegin) {
+      rpc_result<acquire_reply> reply = ReplyFor(met);
+      if (auto* failure = std::get_if<rpc_failure>(&reply)) {
+        Refuse(subject, std::move(*failure));
+      } else {
+        Finish(subject, std::move(std::get<acquire_reply>(reply)));
+      }
+      return;
+    }
+  }
+  TakeToken(subject);
+}
+
+rpc_result<acquire_reply> coordinator_core::ReplyFor(const begin_result& met) {
+  switch (met.verdict) {
+    case record_verdict::kMismatch:
+      return Failure(error_kind::kIdempotencyMismatch,
+                     "the idempotency key was used with other content");
+    case record_verdict::kStillRunning:
+      return Failure(error_kind::kStillRunning, "the first request with this key is running");
+    case record_verdict::kNotStored:
+      return Failure(error_kind::kAnswerNotStored, "the request was run, its answer is not kept");
+    case record_verdict::kReplay: {
+      acquire_reply reply;
+      reply.replay = met.answer;
+      return reply;
+    }
+    case record_verdict::kUnknown:
+    case record_verdict::kBegin:
+      break;
+  }
+  return Failure(error_kind::kOutcomeUnknown, "the first request with this key has no outcome");
+}
+
+void coordinator_core::TakeToken(const call_ptr& subject) {
+  if (!subject->is_keyed) {
+    SeekSlot(subject);
+    return;
+  }
+  const std::string& workspace = subject->request.workspace;
+  const steady_time now = clock_.Now();
+  const auto waited = now - subject->started;
+  const std::chrono::nanoseconds longest = std::max(
+      std::chrono::nanoseconds(0),
+      std::min<std::chrono::nanoseconds>(kLongestTokenWait - waited, subject->deadline - now));
+  std::vector<guarantee_change> changes;
+  const take_result taken = ledgers_.With(workspace, [&](rate_ledger& ledger) {
+    rate_bucket& bucket = ledger.Bucket(
+        workspace, subject->limit, [&](const std::string& name) { return state_.Guarantee(name); },
+        now);
+    const take_result outcome = bucket.TryTake(now, longest);
+    if (const auto tokens = bucket.ProposeGuarantee(now, false)) {
+      changes.push_back({workspace, *tokens});
+    }
+    return outcome;
+  });
+  if (!changes.empty()) {
+    ProposeGuarantees(std::move(changes));
+  }
+  switch (taken.status) {
+    case take_status::kTaken:
+      subject->has_token = true;
+      SeekSlot(subject);
+      return;
+    case take_status::kReserved:
+      after_(taken.wait,
+             [self = shared_from_this(), subject, epoch = taken.epoch, ready = now + taken.wait] {
+               self->UseReservation(subject, epoch, ready);
+             });
+      return;
+    case take_status::kCheckpoint:
+      if (taken.wait <= longest) {
+        after_(taken.wait, [self = shared_from_this(), subject] { self->TakeToken(subject); });
+        return;
+      }
+      break;
+    case take_status::kRefused:
+      break;
+  }
+  Refuse(subject,
+         Failure(error_kind::kOverRate, "the workspace is over its rate of " +
+                                            std::to_string(subject->limit.rate_per_second) + "/s"));
+}
+
+void coordinator_core::UseReservation(const call_ptr& subject,
+                                      std::uint64_t epoch,
+                                      steady_time ready) {
+  // Timers count whole milliseconds and may fire early.
+  if (const steady_time now = clock_.Now(); now < ready) {
+    after_(ready - now, [self = shared_from_this(), subject, epoch, ready] {
+      self->UseReservation(subject, epoch, ready);
+    });
+    return;
+  }
+  subject->has_token = true;
+  const std::uint64_t current = ledgers_.With(subject->request.workspace, [&](rate_ledger& ledger) {
+    const rate_bucket* bucket = ledger.Find(subject->request.workspace);
+    return bucket == nullptr ? epoch + 1 : bucket->Epoch();
+  });
+  if (current == epoch) {
+    SeekSlot(subject);
+    return;
+  }
+  // The rate has fallen since, so the token may not have accrued.
+  Refund(subject->request.workspace);
+  subject->has_token = false;
+  TakeToken(subject);
+}
+
+void coordinator_core::SeekSlot(const call_ptr& subject) {
+  if (!IsCurrent(subject->term)) {
+    Refuse(subject, NotLeader());
+    return;
+  }
+  std::vector<place> own;
+  std::string other_region;
+  for (const place& each : subject->places) {
+    if (each.region == region_) {
+      own.push_back(each);
+    } else if (other_region.empty()) {
+      other_region = each.region;
+    }
+  }
+  slot_request wanted;
+  wanted.term = subject->term;
+  wanted.number = next_number_.fetch_add(1);
+  wanted.admission = subject->request.admission;
+  wanted.request_id = subject->request.request_id;
+  wanted.session = subject->request.entry_vm + '/' + subject->request.session;
+  wanted.workspace = subject->request.workspace;
+  if (IsOrder(subject->request, subject->is_keyed) && subject->is_home) {
+    wanted.idempotency_key = subject->request.idempotency_key;
+  }
+  wanted.fingerprint = subject->request.fingerprint;
+  wanted.places = std::move(own);
+  wanted.avoid = subject->request.avoid;
+  wanted.deadline = subject->deadline;
+  wanted.is_idempotent = subject->request.is_idempotent;
+  wanted.is_suspect = subject->is_suspect;
+  wanted.done = [self = shared_from_this(), subject](slot_outcome outcome) {
+    self->OnSlot(subject, std::move(outcome));
+  };
+  const steady_time now = clock_.Now();
+  bool is_elsewhere = false;
+  const bool is_known =
+      WithBoard(subject->request.service, [&](service_board& board, board_effects& effects) {
+        is_elsewhere = subject->is_home && !other_region.empty() &&
+                       (wanted.places.empty() ||
+                        (board.IsWarm(now) && !board.HasUpstream(wanted.places, now)));
+        if (!is_elsewhere) {
+          board.Acquire(std::move(wanted), now, effects);
+        }
+      });
+  if (!is_known) {
+    Refuse(subject, Failure(error_kind::kNoUpstream,
+                            "no rule names service '" + subject->request.service + "'"));
+  } else if (is_elsewhere) {
+    SendElsewhere(subject, other_region);
+  }
+}
+
+void coordinator_core::SendElsewhere(const call_ptr& subject, const std::string& region) {
+  acquire_reply reply;
+  reply.admission =
+      FormatAdmission(region_, subject->term, next_number_.fetch_add(1), subject->request);
+  reply.next_region = region;
+  if (!IsOrder(subject->request, subject->is_keyed)) {
+    Finish(subject, std::move(reply));
+    return;
+  }
+  const std::string attempt = reply.admission;
+  CommitBegin(subject, attempt, std::move(reply));
+}
+
+void coordinator_core::OnSlot(const call_ptr& subject, slot_outcome outcome) {
+  if (const auto* refusal = std::get_if<slot_refusal>(&outcome)) {
+    Refuse(subject, refusal->kind == error_kind::kNotLeader
+                        ? NotLeader()
+                        : Failure(refusal->kind, refusal->detail));
+    return;
+  }
+  const slot_grant& grant = std::get<slot_grant>(outcome);
+  acquire_reply reply;
+  reply.lease = grant.lease.id;
+  reply.upstream = grant.lease.upstream.name;
+  reply.incarnation = grant.lease.upstream.incarnation;
+  reply.address = grant.address;
+  reply.place = grant.lease.place;
+  reply.idle_connections = IdleConnections(grant.lease.session, reply.upstream);
+  sessions_.With(grant.lease.session, [&](session_table& table) {
+    table.AddLease(grant.lease.session, reply.lease, clock_.Now());
+  });
+  if (subject->is_home && IsOrder(subject->request, subject->is_keyed)) {
+    const std::string attempt = reply.lease;
+    CommitBegin(subject, attempt, std::move(reply));
+    return;
+  }
+  Finish(subject, std::move(reply));
+}
+
+void coordinator_core::CommitBegin(const call_ptr& subject,
+                                   const std::string& attempt,
+                                   acquire_reply reply) {
+  const acquire_request& request = subject->request;
+  writer_->Begin(
+      {request.workspace, request.idempotency_key, request.body_digest, request.request_id,
+       attempt},
+      [self = shared_from_this(), subject, reply = std::move(reply)](
+          const rpc_result<begin_result>& begun) { self->OnBegun(subject, begun, reply); });
+}
+
+void coordinator_core::OnBegun(const call_ptr& subject,
+                               const rpc_result<begin_result>& begun,
+                               acquire_reply reply) {
+  if (std::holds_alternative<rpc_failure>(begun)) {
+    Refuse(subject, NotLeader(), reply.lease);
+    return;
+  }
+  const auto& met = std::get<begin_result>(begun);
+  if (met.verdict == record_verdict::kBegin) {
+    Finish(subject, std::move(reply));
+    return;
+  }
+  // Another request with the key was faster.
+  rpc_result<acquire_reply> answer = ReplyFor(met);
+  if (auto* failure = std::get_if<rpc_failure>(&answer)) {
+    Refuse(subject, std::move(*failure), reply.lease);
+    return;
+  }
+  complete_request unused;
+  unused.lease = reply.lease;
+  EndLease(unused, subject->request.service);
+  Finish(subject, std::move(std::get<acquire_reply>(answer)));
+}
+
+// The lease is checked again, because the process may have been frozen since the first check.
+void coordinator_core::Finish(const call_ptr& subject, acquire_reply reply) {
+  if (!IsCurrent(subject->term)) {
+    Refuse(subject, NotLeader(), reply.lease);
+    return;
+  }
+  static counter& granted = metrics::Instance().Counter("acquire_granted");
+  static latency_metric& latency = metrics::Instance().Latency("acquire_decision");
+  granted.Add();
+  latency.Add(
+      std::chrono::duration_cast<std::chrono::microseconds>(clock_.Now() - subject->started));
+  subject->reply(std::move(reply));
+}
+
+// The request was not run: what it took goes back.
+void coordinator_core::Refuse(const call_ptr& subject,
+                              rpc_failure failure,
+                              const std::string& lease) {
+  const acquire_request& request = subject->request;
+  if (!lease.empty()) {
+    complete_request unused;
+    unused.lease = lease;
+    EndLease(unused, request.service);
+  } else if (subject->has_token) {
+    Refund(request.workspace);
+  }
+  if (subject->is_suspect) {
+    crashes_.With(ToHex(request.fingerprint), [&](crash_registry& crashes) {
+      crashes.End(request.fingerprint, request.request_id);
+    });
+  }
+  metrics::Instance().Counter("acquire_refused_" + std::string(AnswerFor(failure.kind).name)).Add();
+  subject->reply(std::move(failure));
+}
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/coordinator/coordinator_complete.cpp
@@ -0,0 +1,118 @@
+// Outcomes: the slot, the evidence on the upstream, the fingerprint and the record.
+#include "base/log.h"
+#include "coordinator/coordinator_core.h"
+#include "coordinator/lease_id.h"
+#include "observe/metrics.h"
+
+namespace corianderhoist {
+namespace {
+
+constexpr std::size_t kLongestStoredBody = std::size_t{256} * 1024;
+
+bool WasNotRun(attempt_result outcome) {
+  return outcome == attempt_result::kNotSent || outcome == attempt_result::kConnectFailed ||
+         outcome == attempt_result::kShed;
+}
+
+bool IsWholeAnswer(attempt_result outcome) {
+  return outcome == attempt_result::kSuccess || outcome == attempt_result::kServerError;
+}
+
+record_ending EndingOf(attempt_result outcome) {
+  if (WasNotRun(outcome)) {
+    return record_ending::kAbandoned;
+  }
+  return IsWholeAnswer(outcome) ? record_ending::kFinished : record_ending::kLost;
+}
+
+}  // namespace
+
+void coordinator_core::Complete(complete_request report, rpc_callback<empty_message> reply) {
+  if (!EnsureStarted()) {
+    reply(NotLeader());
+    return;
+  }
+  const std::optional<lease_parts> lease = ParseLease(report.lease);
+  const bool is_placed_by_admission = lease && !lease->admission.empty();
+  if (lease) {
+    EndLease(report, lease->service);
+  }
+  // For a request from another region, the home coordinator gets a call of its own.
+  const bool is_home = state_.WithConfig([&](const configuration& config) {
+    const auto found = config.Rules().workspaces.find(report.workspace);
+    return report.workspace.empty()
+               ? !is_placed_by_admission
+               : found != config.Rules().workspaces.end() && found->second.HomeRegion() == region_;
+  });
+  if (!is_home) {
+    reply(empty_message{});
+    return;
+  }
+  JudgeFingerprint(report, lease ? lease->service : std::string());
+  if (report.idempotency_key.empty() || report.workspace.empty()) {
+    reply(empty_message{});
+    return;
+  }
+  EndRecord(report, is_placed_by_admission ? lease->admission : report.lease, std::move(reply));
+}
+
+void coordinator_core::EndLease(const complete_request& report, const std::string& service) {
+  const steady_time now = clock_.Now();
+  const bool is_suspect = crashes_.With(
+      ToHex(report.fingerprint),
+      [&](const crash_registry& crashes) { return crashes.IsSuspect(report.fingerprint, now); });
+  std::optional<slot_lease> ended;
+  WithBoard(service, [&](service_board& board, board_effects& effects) {
+    ended = board.Complete(report, is_suspect, now, effects);
+  });
+  if (!ended) {
+    return;
+  }
+  sessions_.With(ended->session,
+                 [&](session_table& table) { table.RemoveLease(ended->session, ended->id); });
+  const std::optional<lease_parts> parts = ParseLease(ended->id);
+  const bool is_admitted_here = parts && parts->admission.empty() && parts->term == term_.load();
+  if (WasNotRun(report.outcome) && is_admitted_here && !ended->workspace.empty()) {
+    Refund(ended->workspace);
+  }
+}
+
+void coordinator_core::JudgeFingerprint(const complete_request& report,
+                                        const std::string& service) {
+  const steady_time now = clock_.Now();
+  bool is_bad_link = false;
+  if (report.outcome == attempt_result::kConnectionLost && !service.empty()) {
+    WithBoard(service, [&](service_board& board, board_effects&) {
+      is_bad_link = board.Judge().BadReporters().contains(report.entry_vm);
+    });
+  }
+  const bool must_block = crashes_.With(ToHex(report.fingerprint), [&](crash_registry& crashes) {
+    crashes.End(report.fingerprint, report.request_id);
+    if (IsWholeAnswer(report.outcome)) {
+      crashes.OnAnswered(report.fingerprint);
+    }
+    return report.outcome == attempt_result::kConnectionLost && !is_bad_link &&
+           crashes.OnCrash(report.fingerprint, {report.upstream, report.incarnation}, now);
+  });
+  if (must_block && !state_.IsBlocked(report.fingerprint)) {
+    log_event(log_level::kWarning, "request_blocked")
+        .Field("workspace", report.workspace)
+        .Field("fingerprint", ToHex(report.fingerprint))
+        .Field("request", report.request_id);
+    writer_->Block(report.fingerprint);
+  }
+}
+
+void coordinator_core::EndRecord(const complete_request& report,
+                                 const std::string& attempt,
+                                 rpc_callback<empty_message> reply) {
+  record_end end{report.workspace, report.idempotency_key,   report.request_id,
+                 attempt,          EndingOf(report.outcome), report.answer};
+  if (end.answer && end.answer->body.size() > kLongestStoredBody) {
+    end.answer->body.clear();
+    end.answer->is_complete = false;
+  }
+  writer_->End(std::move(end), std::move(reply));
+}
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/coordinator/coordinator_core.h
@@ -0,0 +1,178 @@
+/// Decisions of a region's coordinator: admission, slots, outcomes.
+#pragma once
+
+#include "base/clock.h"
+#include "base/sharded.h"
+#include "coordinator/crash_registry.h"
+#include "coordinator/log_writer.h"
+#include "coordinator/messages.h"
+#include "coordinator/rate_ledger.h"
+#include "coordinator/region_state.h"
+#include "coordinator/service_board.h"
+#include "coordinator/session_table.h"
+#include "wire/rpc.h"
+
+#include <QJsonObject>
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace corianderhoist {
+
+/// Admissions of other regions that have been used here. Not thread safe; used by shard.
+class admission_book {
+ public:
+  /// False when the admission has been used before.
+  bool Use(const std::string& admission, steady_time now);
+  void Sweep(steady_time now);
+  void Clear() { used_.clear(); }
+
+ private:
+  std::unordered_map<std::string, steady_time> used_;
+};
+
+/// Decides while this member leads its group with a valid lease. All state but that of
+/// `region_state` is soft and starts anew with each leadership. Thread safe.
+class coordinator_core : public std::enable_shared_from_this<coordinator_core> {
+ public:
+  /// Runs a task once a delay has passed.
+  using scheduler = std::function<void(std::chrono::nanoseconds, std::function<void()>)>;
+
+  /// All references must outlive the core.
+  coordinator_core(std::string region,
+                   region_state& state,
+                   region_log& log,
+                   const clock_source& clock,
+                   scheduler after);
+
+  void Acquire(acquire_request request, rpc_callback<acquire_reply> reply);
+  void Complete(complete_request report, rpc_callback<empty_message> reply);
+  void Announce(const announcement& news, const rpc_callback<empty_message>& reply);
+  void Session(const session_request& renewal, const rpc_callback<empty_message>& reply);
+
+  /// Periodic work; should be called every `kTickInterval`.
+  void Tick();
+  /// To be called from the observer of the region's state.
+  void OnConfig(const std::vector<limit_change>& limits, const std::vector<digest>& released);
+  /// Sends new requests to the next leader from now on; what has been queued goes on.
+  void StartDrain();
+
+  const std::shared_ptr<log_writer>& Writer() const { return writer_; }
+  /// True while this member decides.
+  bool IsDeciding() const;
+  /// What the coordinator believes and since when.
+  QJsonObject Dump();
+
+  static constexpr std::chrono::milliseconds kTickInterval{20};
+
+ private:
+  /// A request on its way through the checks.
+  struct call {
+    acquire_request request;
+    rpc_callback<acquire_reply> reply;
+    std::uint64_t term = 0;
+    steady_time started;
+    steady_time deadline;
+    rate_limit limit;
+    std::vector<place> places;  // Allowed by the rules.
+    bool is_keyed = false;
+    bool is_home = false;
+    bool is_suspect = false;
+    bool has_token = false;
+  };
+  using call_ptr = std::shared_ptr<call>;
+  using board_map = std::map<std::string, service_board>;
+
+  // Leadership.
+  bool EnsureStarted();
+  void Start(std::uint64_t term);
+  bool IsCurrent(std::uint64_t term) const;
+  rpc_failure NotLeader() const;
+
+  // Steps of `Acquire`, in order.
+  std::optional<rpc_failure> CheckRules(call& subject) const;
+  bool AnswerRepeated(const call_ptr& subject);
+  void CheckHome(const call_ptr& subject);
+  void TakeToken(const call_ptr& subject);
+  void UseReservation(const call_ptr& subject, std::uint64_t epoch, steady_time ready);
+  void SeekSlot(const call_ptr& subject);
+  void SendElsewhere(const call_ptr& subject, const std::string& region);
+  void OnSlot(const call_ptr& subject, slot_outcome outcome);
+  void CommitBegin(const call_ptr& subject, const std::string& attempt, acquire_reply reply);
+  void OnBegun(const call_ptr& subject, const rpc_result<begin_result>& begun, acquire_reply reply);
+  void Finish(const call_ptr& subject, acquire_reply reply);
+  void Refuse(const call_ptr& subject, rpc_failure failure, const std::string& lease = {});
+  static rpc_result<acquire_reply> ReplyFor(const begin_result& met);
+
+  // Steps of `Complete`.
+  void EndLease(const complete_request& report, const std::string& service);
+  void JudgeFingerprint(const complete_request& report, const std::string& service);
+  void EndRecord(const complete_request& report,
+                 const std::string& attempt,
+                 rpc_callback<empty_message> reply);
+
+  // Tokens.
+  void Refund(const std::string& workspace);
+  void ProposeGuarantees(std::vector<guarantee_change> changes);
+  void RaiseGuarantees(steady_time now);
+
+  /// Calls `function(service_board&, board_effects&)` under the lock and then carries out the
+  /// effects. False when the rules do not name the service.
+  template <class Function>
+  bool WithBoard(const std::string& service, Function&& function);
+  void CarryOut(board_effects& effects);
+  std::optional<std::uint32_t> FloorOf(const std::string& service) const;
+  std::uint32_t IdleConnections(const std::string& session, const std::string& upstream);
+  bool IsSessionAlive(const std::string& session, steady_time now);
+
+  const std::string region_;
+  region_state& state_;
+  region_log& log_;
+  const clock_source& clock_;
+  const scheduler after_;
+  const std::shared_ptr<log_writer> writer_;
+  std::atomic<bool> is_draining_ = false;
+  std::atomic<std::uint64_t> term_ = 0;  // Of the present soft state; 0 when there is none.
+  std::atomic<std::uint64_t> next_number_ = 1;
+  std::mutex start_lock_;
+  std::atomic<steady_time> started_{};
+  std::atomic<std::size_t> live_sessions_ = 0;
+  std::atomic<steady_time> swept_at_{};
+
+  sharded<rate_ledger> ledgers_;
+  sharded<board_map> boards_;
+  sharded<crash_registry> crashes_;
+  sharded<session_table> sessions_;
+  sharded<admission_book> admissions_;
+};
+
+template <class Function>
+bool coordinator_core::WithBoard(const std::string& service, Function&& function) {
+  board_effects effects;
+  const bool is_known = boards_.With(service, [&](board_map& boards) {
+    auto found = boards.find(service);
+    if (found == boards.end()) {
+      const std::optional<std::uint32_t> floor = FloorOf(service);
+      if (!floor) {
+        return false;
+      }
+      found = boards.emplace(service, service_board(service)).first;
+      found->second.Start(state_.Ejections(), started_.load());
+      found->second.SetFloor(*floor);
+    }
+    function(found->second, effects);
+    return true;
+  });
+  CarryOut(effects);
+  return is_known;
+}
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/coordinator/fair_queue.h
@@ -0,0 +1,166 @@
+/// A bounded queue that is fair between flows and ordered by deadline within a flow.
+#pragma once
+
+#include "base/clock.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace corianderhoist {
+
+/// Deficit round robin over flows (one per workspace) with equal weights. Costs are in any unit,
+/// for example milliseconds of a slot; `quantum` is in the same unit. When the queue is full, the
+/// longest flow loses its entry with the latest deadline, so that a noisy workspace cannot keep
+/// others out. Not thread safe.
+template <class Entry>
+class fair_queue {
+ public:
+  fair_queue(std::size_t capacity, std::uint32_t quantum)
+      : capacity_(capacity), quantum_(std::max<std::uint32_t>(quantum, 1)) {}
+
+  /// Adds an entry. Returns the entry that has to go instead, which may be the new one.
+  std::optional<Entry> Push(const std::string& flow_name,
+                            steady_time deadline,
+                            std::uint32_t cost,
+                            Entry entry) {
+    std::optional<Entry> removed;
+    if (size_ >= capacity_) {
+      const auto longest = LongestFlow();
+      const auto own = flows_.find(flow_name);
+      const std::size_t own_size = own == flows_.end() ? 0 : own->second.entries.size();
+      if (longest == flows_.end() || longest->second.entries.size() <= own_size) {
+        return entry;
+      }
+      removed = Remove(longest, std::prev(longest->second.entries.end()));
+    }
+    auto [found, is_new] = flows_.try_emplace(flow_name);
+    if (is_new) {
+      found->second.position = order_.insert(order_.end(), flow_name);
+    }
+    found->second.entries.emplace(deadline,
+                                  queued{std::max<std::uint32_t>(cost, 1), std::move(entry)});
+    ++size_;
+    return removed;
+  }
+
+  /// Takes the next entry among those that `allows(flow, entry)` accepts, in the order of deadlines
+  /// within a flow. Entries past their deadline are left to `TakeExpired`.
+  template <class Predicate>
+  std::optional<Entry> Pop(steady_time now, Predicate&& allows) {
+    while (true) {
+      bool is_any_allowed = false;
+      for (std::size_t visits = order_.size(); visits > 0; --visits) {
+        const auto found = flows_.find(order_.front());
+        auto next = NextAllowed(found->second, now, allows);
+        if (next == found->second.entries.end()) {
+          Rotate();
+          continue;
+        }
+        is_any_allowed = true;
+        if (found->second.deficit < next->second.cost) {
+          found->second.deficit += quantum_;
+        }
+        if (found->second.deficit < next->second.cost) {
+          Rotate();
+          continue;
+        }
+        found->second.deficit -= next->second.cost;
+        const bool is_turn_over = found->second.deficit < next->second.cost;
+        const bool is_last = found->second.entries.size() == 1;
+        Entry entry = Remove(found, next);
+        if (is_turn_over && !is_last) {
+          Rotate();
+        }
+        return entry;
+      }
+      if (!is_any_allowed) {
+        return std::nullopt;
+      }
+    }
+  }
+
+  /// Removes all entries whose deadline has passed.
+  std::vector<Entry> TakeExpired(steady_time now) {
+    std::vector<Entry> expired;
+    for (auto found = flows_.begin(); found != flows_.end();) {
+      const auto following = std::next(found);
+      while (found->second.entries.begin()->first <= now) {
+        const bool is_last = found->second.entries.size() == 1;
+        expired.push_back(Remove(found, found->second.entries.begin()));
+        if (is_last) {
+          break;
+        }
+      }
+      found = following;
+    }
+    return expired;
+  }
+
+  std::size_t Size() const { return size_; }
+
+  /// Length of each flow.
+  std::map<std::string, std::size_t> Lengths() const {
+    std::map<std::string, std::size_t> lengths;
+    for (const auto& [name, each] : flows_) {
+      lengths[name] = each.entries.size();
+    }
+    return lengths;
+  }
+
+ private:
+  struct queued {
+    std::uint32_t cost;
+    Entry entry;
+  };
+  struct flow {
+    std::multimap<steady_time, queued> entries;
+    std::uint64_t deficit = 0;
+    std::list<std::string>::iterator position;
+  };
+  using flow_map = std::map<std::string, flow>;
+  using entry_iterator = typename std::multimap<steady_time, queued>::iterator;
+
+  template <class Predicate>
+  static entry_iterator NextAllowed(flow& from, steady_time now, Predicate& allows) {
+    auto next = from.entries.upper_bound(now);
+    while (next != from.entries.end() && !allows(next->second.entry)) {
+      ++next;
+    }
+    return next;
+  }
+
+  typename flow_map::iterator LongestFlow() {
+    return std::max_element(flows_.begin(), flows_.end(), [](const auto& left, const auto& right) {
+      return left.second.entries.size() < right.second.entries.size();
+    });
+  }
+
+  void Rotate() { order_.splice(order_.end(), order_, order_.begin()); }
+
+  Entry Remove(typename flow_map::iterator from, entry_iterator which) {
+    Entry entry = std::move(which->second.entry);
+    from->second.entries.erase(which);
+    if (from->second.entries.empty()) {
+      order_.erase(from->second.position);
+      flows_.erase(from);
+    }
+    --size_;
+    return entry;
+  }
+
+  const std::size_t capacity_;
+  const std::uint32_t quantum_;
+  flow_map flows_;
+  std::list<std::string> order_;  // The first flow is the next to be served.
+  std::size_t size_ = 0;
+};
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/coordinator/log_writer.h
@@ -0,0 +1,78 @@
+/// Group commit to a region's log.
+#pragma once
+
+#include "base/clock.h"
+#include "coordinator/region_command.h"
+#include "wire/rpc.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace corianderhoist {
+
+/// What a coordinator needs of the region's replicated log. Thread safe.
+class region_log {
+ public:
+  virtual ~region_log() = default;
+  virtual bool HasLease() const = 0;
+  /// The term in which this member leads, 0 when it does not.
+  virtual std::uint64_t LeadingTerm() const = 0;
+  virtual std::string LeaderName() const = 0;
+  virtual void Propose(std::string command, std::function<void(rpc_result<std::string>)> done) = 0;
+};
+
+/// Collects changes while earlier ones are being committed, and proposes them together. Thread
+/// safe.
+class log_writer : public std::enable_shared_from_this<log_writer> {
+ public:
+  template <class Value>
+  using callback = std::function<void(rpc_result<Value>)>;
+
+  log_writer(region_log& log, const clock_source& clock) : log_(log), clock_(clock) {}
+
+  void Begin(record_begin begin, callback<begin_result> done);
+  void End(record_end end, callback<empty_message> done);
+  void Add(std::vector<ejection_change> ejections);
+  void Block(const digest& fingerprint);
+  void Guarantee(std::vector<guarantee_change> changes, std::function<void(bool)> done);
+  void Config(config_fetch_reply news, callback<region_result> done);
+  /// Commits an empty command when the last one was long ago, so that the region's time advances.
+  void KeepTime();
+
+ private:
+  using finisher = std::function<void(const rpc_result<region_result>&)>;
+  struct batch {
+    region_command command;
+    std::vector<finisher> finishers;
+  };
+
+  /// Calls `fill(batch&)` under the lock and proposes what has been collected, if possible.
+  template <class Fill>
+  void Change(Fill&& fill) {
+    {
+      const std::lock_guard guard(lock_);
+      fill(collected_);
+      has_collected_ = true;
+    }
+    Flush();
+  }
+  void Flush();
+  void Finish(const batch& sent, const rpc_result<std::string>& reply);
+
+  region_log& log_;
+  const clock_source& clock_;
+  std::mutex lock_;
+  batch collected_;
+  bool has_collected_ = false;
+  int in_flight_ = 0;
+  std::uint64_t term_ = 0;
+  steady_time sent_at_;
+};
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/coordinator/region_state.cpp
@@ -0,0 +1,312 @@
+#include "coordinator/region_state.h"
+
+#include "base/log.h"
+#include "coordinator/crash_registry.h"
+#include "coordinator/rate_ledger.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace corianderhoist {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint64_t kSnapshotFormat = 1;
+// A day of configuration changes at the design size is 32,000; an entry VM that has missed more
+// than a few minutes of them takes a snapshot.
+constexpr std::size_t kKeptChanges = 1000;
+constexpr std::size_t kKeptEjections = 10'000;
+
+rate_limit LimitOf(const workspace_rule& rule) {
+  return {rule.rate_per_second, rule.burst};
+}
+
+}  // namespace
+
+std::string region_state::Apply(std::uint64_t index, std::string_view bytes) {
+  region_result outcome;
+  notices changed;
+  bool has_config = false;
+  Recover(
+      [&]() -> result<void> {
+        BOOST_LEAF_AUTO(command, Decode<region_command>(bytes));
+        const std::unique_lock guard(lock_);
+        applied_index_ = index;
+        time_ += std::max(command.elapsed, milliseconds(0));
+        Expire();
+        ApplyRecords(command, outcome);
+        ApplyHealth(command);
+        if (command.config) {
+          changed = ApplyConfig(*command.config, outcome);
+          has_config = true;
+        }
+        outcome.config_version = config_.Version();
+        return {};
+      },
+      [&](const error& failure) {
+        // All members skip the same entry.
+        log_event(log_level::kError, "region_command_skipped")
+            .Field("index", index)
+            .Field("cause", failure.detail);
+        outcome.config_fault = failure.detail;
+      });
+  if (has_config && on_config_) {
+    on_config_(changed.first, changed.second);
+  }
+  return Encode(outcome);
+}
+
+void region_state::Expire() {
+  records_.Expire(time_);
+  std::erase_if(blocks_, [&](const auto& each) { return time_ - each.second >= kCrashMemory; });
+}
+
+void region_state::ApplyRecords(const region_command& command, region_result& outcome) {
+  for (const record_begin& each : command.begins) {
+    begin_result begun;
+    begun.verdict = records_.Begin(each.workspace, each.key, each.body_digest, each.request_id,
+                                   each.attempt, time_);
+    if (begun.verdict == record_verdict::kReplay) {
+      begun.answer = records_.Find(each.workspace, each.key)->answer;
+    }
+    outcome.begins.push_back(std::move(begun));
+  }
+  for (const record_end& each : command.ends) {
+    switch (each.ending) {
+      case record_ending::kFinished:
+        records_.Finish(each.workspace, each.key, each.request_id, each.answer);
+        break;
+      case record_ending::kAbandoned:
+        records_.Abandon(each.workspace, each.key, each.request_id, each.attempt);
+        break;
+      case record_ending::kLost:
+        records_.Lose(each.workspace, each.key, each.request_id);
+        break;
+    }
+  }
+}
+
+void region_state::ApplyHealth(const region_command& command) {
+  for (const ejection_change& each : command.ejections) {
+    const std::pair key(each.subject.service,
+                        upstream_id{each.subject.upstream, each.subject.incarnation});
+    if (!each.is_ejected) {
+      ejections_.erase(key);
+    } else if (ejections_.size() < kKeptEjections || ejections_.contains(key)) {
+      ejections_[key] = each.subject;
+    }
+  }
+  for (const digest& each : command.blocks) {
+    blocks_[each] = time_;
+  }
+  for (const guarantee_change& each : command.guarantees) {
+    guarantees_[each.workspace] = each.tokens;
+  }
+}
+
+// A new limit must not raise what a new leader may count on, and a workspace that moves into this
+// region may have used its tokens in its former one.
+std::vector<limit_change> region_state::AdjustGuarantees(
+    const std::map<std::string, workspace_rule>& former) {
+  std::vector<limit_change> changed;
+  const auto& current = config_.Rules().workspaces;
+  for (const auto& [name, rule] : current) {
+    const auto before = former.find(name);
+    if (before == former.end() || before->second == rule) {
+      continue;
+    }
+    const std::uint64_t own = DefaultGuarantee(LimitOf(rule));
+    const auto found = guarantees_.find(name);
+    const bool is_moved = before->second.HomeRegion() != rule.HomeRegion();
+    const std::uint64_t held = is_moved ? 0
+                               : found == guarantees_.end()
+                                   ? DefaultGuarantee(LimitOf(before->second))
+                                   : found->second;
+    if (is_moved || LimitOf(before->second) != LimitOf(rule)) {
+      guarantees_[name] = std::min(held, own);
+      changed.push_back({name, rule.rate_per_second, rule.burst});
+    }
+  }
+  for (const auto& [name, rule] : former) {
+    if (!current.contains(name)) {
+      guarantees_[name] = 0;  // The workspace may come back under this name.
+    }
+  }
+  return changed;
+}
+
+region_state::notices region_state::ApplyConfig(const config_fetch_reply& news,
+                                                region_result& outcome) {
+  const std::map<std::string, workspace_rule> former = config_.Rules().workspaces;
+  const bool is_first = config_.Version() == 0;
+  notices changed;
+  Recover(
+      [&]() -> result<void> {
+        if (news.snapshot && news.snapshot->version > config_.Version()) {
+          BOOST_LEAF_CHECK(config_.Restore(*news.snapshot));
+          changes_.clear();
+        }
+        for (const config_change& change : news.changes) {
+          if (change.version <= config_.Version()) {
+            continue;  // Versions only grow.
+          }
+          BOOST_LEAF_CHECK(config_.Apply(change));
+          for (const digest& each : change.released_requests) {
+            blocks_.erase(each);
+            changed.second.push_back(each);
+          }
+          changes_.push_back(change);
+          if (changes_.size() > kKeptChanges) {
+            changes_.pop_front();
+          }
+        }
+        return {};
+      },
+      [&](const error& failure) { outcome.config_fault = failure.detail; });
+  if (!is_first) {
+    changed.first = AdjustGuarantees(former);
+  }
+  return changed;
+}
+
+std::uint64_t region_state::ConfigVersion() const {
+  const std::shared_lock guard(lock_);
+  return config_.Version();
+}
+
+config_fetch_reply region_state::ConfigAfter(std::uint64_t version) const {
+  const std::shared_lock guard(lock_);
+  config_fetch_reply reply;
+  if (version >= config_.Version()) {
+    return reply;
+  }
+  if (changes_.empty() || changes_.front().version > version + 1) {
+    reply.snapshot = config_.Snapshot();
+    return reply;
+  }
+  for (const config_change& change : changes_) {
+    if (change.version > version) {
+      reply.changes.push_back(change);
+    }
+  }
+  return reply;
+}
+
+bool region_state::IsBlocked(const digest& fingerprint) const {
+  const std::shared_lock guard(lock_);
+  return blocks_.contains(fingerprint);
+}
+
+begin_result region_state::CheckRecord(const record_begin& request) const {
+  const std::shared_lock guard(lock_);
+  begin_result checked;
+  checked.verdict = records_.Check(request.workspace, request.key, request.body_digest,
+                                   request.request_id, time_);
+  if (checked.verdict == record_verdict::kReplay) {
+    checked.answer = records_.Find(request.workspace, request.key)->answer;
+  }
+  return checked;
+}
+
+std::optional<std::uint64_t> region_state::Guarantee(const std::string& workspace) const {
+  const std::shared_lock guard(lock_);
+  const auto found = guarantees_.find(workspace);
+  return found == guarantees_.end() ? std::nullopt : std::optional(found->second);
+}
+
+std::vector<ejection> region_state::Ejections() const {
+  const std::shared_lock guard(lock_);
+  std::vector<ejection> all;
+  for (const auto& [key, each] : ejections_) {
+    all.push_back(each);
+  }
+  return all;
+}
+
+region_state::summary region_state::Summary() const {
+  const std::shared_lock guard(lock_);
+  summary numbers;
+  numbers.records = records_.Size();
+  records_.ForEach([&](const idempotency_record& record) {
+    switch (record.state) {
+      case record_state::kBegun:
+        ++numbers.records_by_state["begun"];
+        break;
+      case record_state::kFinished:
+        ++numbers.records_by_state["finished"];
+        break;
+      case record_state::kUnknown:
+        ++numbers.records_by_state["unknown"];
+        break;
+    }
+  });
+  for (const auto& [fingerprint, blocked_at] : blocks_) {
+    numbers.blocks.push_back({fingerprint, blocked_at});
+  }
+  numbers.guarantees = guarantees_.size();
+  numbers.config_version = config_.Version();
+  numbers.routing_version = config_.RoutingVersion();
+  numbers.applied_index = applied_index_;
+  numbers.time = time_;
+  return numbers;
+}
+
+std::string region_state::Snapshot() const {
+  const std::shared_lock guard(lock_);
+  region_snapshot snapshot;
+  snapshot.format = kSnapshotFormat;
+  snapshot.time = time_;
+  records_.ForEach([&](const idempotency_record& each) { snapshot.records.push_back(each); });
+  for (const auto& [key, each] : ejections_) {
+    snapshot.ejections.push_back(each);
+  }
+  for (const auto& [fingerprint, blocked_at] : blocks_) {
+    snapshot.blocks.push_back({fingerprint, blocked_at});
+  }
+  for (const auto& [workspace, tokens] : guarantees_) {
+    snapshot.guarantees.push_back({workspace, tokens});
+  }
+  snapshot.config = config_.Snapshot();
+  snapshot.changes.assign(changes_.begin(), changes_.end());
+  return Encode(snapshot);
+}
+
+void region_state::Restore(std::string_view bytes) {
+  Recover(
+      [&]() -> result<void> {
+        BOOST_LEAF_AUTO(snapshot, Decode<region_snapshot>(bytes));
+        if (snapshot.format != kSnapshotFormat) {
+          return Fail(error_kind::kStorageDamaged, "unknown format of the region's snapshot");
+        }
+        const std::unique_lock guard(lock_);
+        BOOST_LEAF_CHECK(config_.Restore(snapshot.config));
+        time_ = snapshot.time;
+        records_.Clear();
+        for (idempotency_record& each : snapshot.records) {
+          records_.Restore(std::move(each));
+        }
+        ejections_.clear();
+        for (ejection& each : snapshot.ejections) {
+          std::pair key(each.service, upstream_id{each.upstream, each.incarnation});
+          ejections_[std::move(key)] = std::move(each);
+        }
+        blocks_.clear();
+        for (const block_entry& each : snapshot.blocks) {
+          blocks_[each.fingerprint] = each.blocked_at;
+        }
+        guarantees_.clear();
+        for (const guarantee_change& each : snapshot.guarantees) {
+          guarantees_[each.workspace] = each.tokens;
+        }
+        changes_.assign(snapshot.changes.begin(), snapshot.changes.end());
+        return {};
+      },
+      // A replica without its state must not go on.
+      [](const error& failure) { throw std::runtime_error(failure.detail); });
+  if (on_config_) {
+    on_config_({}, {});
+  }
+}
+
+}  // namespace corianderhoist
