Add the replica: storage, consensus core and its driver

The packages control and coordinator need a replicated log. The consensus core is a deterministic state machine (messages, ticks and completed writes in; messages, writes and committed entries out). A driver connects it to rpc_channel and rpc_server, and a disk thread writes one batch at a time with one fdatasync, so that proposals that arrive meanwhile share the next one.

Storage writes records with a length, CRC-32C, index and first index of the batch. The latter tells a torn batch, which was never synced, from damage to a record that was: only the former is truncated. The vote is in the same file as the replica id, so a data folder cannot lose one and keep the other.

A group is founded by an exchange of replica ids between all first members; a majority would not do, because members with wiped disks could then found the group a second time.

replica_status has a new field `failure` and the new roles "joining" and "failed".

Storage has no unit tests yet, and the core has no seeded schedules yet.

--- /dev/null
+++ b/src/consensus/message.h
@@ -0,0 +1,87 @@
+/// Messages between replicas: calls and their answers in one type.
+#pragma once
+
+#include "storage/records.h"
+#include "wire/codec.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace corianderhoist {
+
+enum class message_kind : std::uint8_t {
+  kIdentify,  ///< Asks a first member for its replica id and whether it is still without a group.
+  kIdentifyAnswer,
+  kFound,  ///< Hands the founding entry of a new group to a first member.
+  kFoundAnswer,
+  kPreVote,  ///< Asks whether an election could be won, without a change of terms.
+  kPreVoteAnswer,
+  kVote,
+  kVoteAnswer,
+  kAppend,
+  kAppendAnswer,
+  kSnapshot,
+  kSnapshotAnswer,
+};
+
+struct raft_message {
+  message_kind kind = message_kind::kIdentify;
+  std::uint64_t call = 0;  ///< Copied into the answer; the driver matches calls with it.
+  std::uint64_t group = 0;
+  std::string from;
+  std::uint64_t from_id = 0;
+  std::string to;
+  std::uint64_t to_id = 0;  ///< 0 while the replica id is not known.
+  std::uint64_t term = 0;
+
+  /// Append: the entry before `entries`. Vote: last entry of the candidate. Snapshot: its last
+  /// entry. Answer to an append: last entry that is known to match, or where to try next.
+  std::uint64_t index = 0;
+  std::uint64_t index_term = 0;
+  std::vector<log_entry> entries;
+  std::uint64_t commit_index = 0;
+  bool is_granted = false;  ///< Answers: vote granted, append matched, founding accepted.
+
+  /// Append and snapshot, copied into the answer: time of sending on the leader's clock in
+  /// nanoseconds, for the lease; number of the read round, for the read index.
+  std::int64_t sent_at = 0;
+  std::uint64_t read_round = 0;
+
+  /// Snapshot: a part of its data.
+  std::uint64_t offset = 0;
+  std::string data;
+  bool is_last_part = false;
+  std::uint64_t membership_index = 0;
+  std::string members;
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.kind);
+    visit(2, self.call);
+    visit(3, self.group);
+    visit(4, self.from);
+    visit(5, self.from_id);
+    visit(6, self.to);
+    visit(7, self.to_id);
+    visit(8, self.term);
+    visit(9, self.index);
+    visit(10, self.index_term);
+    visit(11, self.entries);
+    visit(12, self.commit_index);
+    visit(13, self.is_granted);
+    visit(14, self.sent_at);
+    visit(15, self.read_round);
+    visit(16, self.offset);
+    visit(17, self.data);
+    visit(18, self.is_last_part);
+    visit(19, self.membership_index);
+    visit(20, self.members);
+  }
+};
+
+inline bool IsAnswer(message_kind kind) {
+  return static_cast<int>(kind) % 2 == 1;
+}
+
+}  // namespace corianderhoist
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -49,7 +49,9 @@
 
 /// State of a replica, for dumps.
 struct replica_status {
-  std::string role;  ///< "leader", "follower", "candidate" or "learner"
+  /// "leader", "follower", "candidate", "learner", "joining" (without a group yet) or "failed".
+  std::string role;
+  std::string failure;  ///< Why the replica has stopped; empty while it runs.
   std::string leader;
   std::uint64_t term = 0;
   std::uint64_t commit_index = 0;
@@ -127,14 +129,14 @@
 
  private:
   struct driver;
-  explicit replica(std::unique_ptr<driver> driver);
+  explicit replica(std::shared_ptr<driver> driver);
   static result<std::unique_ptr<replica>> OpenErased(replica_settings settings,
                                                      application_calls application,
                                                      rpc_server& server,
                                                      std::shared_ptr<tls_identity> identity,
                                                      const clock_source& clock);
 
-  std::unique_ptr<driver> driver_;
+  std::shared_ptr<driver> driver_;
 };
 
 }  // namespace corianderhoist
--- /dev/null
+++ b/src/consensus/replica_driver.cpp
@@ -0,0 +1,333 @@
+#include "consensus/replica_driver.h"
+
+#include "base/hash.h"
+#include "base/log.h"
+
+#include <algorithm>
+#include <cstring>
+
+namespace corianderhoist {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::uint64_t kSnapshotEvery = 1000;  // Entries.
+constexpr milliseconds kLongestTick(25);
+constexpr milliseconds kShortestTick(5);
+constexpr int kTicksPerHeartbeat = 4;
+// A part of a snapshot is 1 MiB, which may take long on a shared link.
+constexpr int kSnapshotTimeoutFactor = 10;
+
+std::uint64_t RandomId() {
+  std::uint64_t id = 0;
+  const std::string bytes = RandomBytes(sizeof(id));
+  std::memcpy(&id, bytes.data(), sizeof(id));
+  return id | 1;
+}
+
+std::string MethodOf(message_kind kind) {
+  switch (kind) {
+    case message_kind::kPreVote:
+    case message_kind::kVote:
+      return "raft.vote";
+    case message_kind::kAppend:
+      return "raft.append";
+    case message_kind::kSnapshot:
+      return "raft.snapshot";
+    default:
+      return "raft.found";
+  }
+}
+
+core_settings MakeCoreSettings(const replica_settings& settings) {
+  core_settings made;
+  made.name = settings.name;
+  made.heartbeat = settings.heartbeat;
+  made.election_timeout = settings.election_timeout;
+  made.seed = RandomId();
+  for (const replica_member& member : settings.members) {
+    made.first_members.push_back({member.name, 0, FormatEndpoint(member.address), true});
+  }
+  return made;
+}
+
+}  // namespace
+
+replica::driver::driver(replica_settings settings,
+                        application_calls application,
+                        std::shared_ptr<tls_identity> identity,
+                        const clock_source& clock)
+    : settings_(std::move(settings)),
+      application_(std::move(application)),
+      identity_(std::move(identity)),
+      clock_(clock),
+      loop_("replica"),
+      disk_loop_("replica-disk") {}
+
+result<void> replica::driver::Load() {
+  BOOST_LEAF_ASSIGN(files_, file_disk::Open(settings_.folder));
+  BOOST_LEAF_ASSIGN(store_, replica_store::Open(*files_, RandomId()));
+  stored_state stored = store_->TakeRecovered();
+  if (stored.last_snapshot) {
+    application_.restore(stored.last_snapshot->data);
+  }
+  core_ = std::make_unique<consensus_core>(MakeCoreSettings(settings_), std::move(stored),
+                                           clock_.Now());
+  log_event(log_level::kInfo, "replica_recovered")
+      .Field("group", settings_.group)
+      .Field("term", core_->Term())
+      .Field("last_index", core_->Log().LastIndex())
+      .Field("snapshot_index", core_->Log().SnapshotIndex());
+  Publish();
+  return {};
+}
+
+void replica::driver::Register(rpc_server& server) {
+  for (const auto kind : {message_kind::kVote, message_kind::kAppend, message_kind::kSnapshot,
+                          message_kind::kFound}) {
+    server.Handle<raft_message, raft_message>(
+        MethodOf(kind), {settings_.role},
+        [weak = weak_from_this()](const rpc_context& context, raft_message request,
+                                  rpc_callback<raft_message> respond) {
+          const auto self = weak.lock();
+          if (!self) {
+            return respond(rpc_failure{error_kind::kShuttingDown, "the replica has ended", {}});
+          }
+          if (request.from != context.peer.name || IsAnswer(request.kind)) {
+            return respond(rpc_failure{error_kind::kForbidden, "not a call of this peer", {}});
+          }
+          self->loop_.Post([raw = self.get(), request = std::move(request),
+                            respond = std::move(respond)]() mutable {
+            raw->OnCall(std::move(request), std::move(respond));
+          });
+        });
+  }
+}
+
+void replica::driver::Start() {
+  loop_.Post([this] {
+    if (!std::exchange(is_started_, true)) {
+      Tick();
+    }
+  });
+}
+
+void replica::driver::Stop() {
+  loop_.RunAndWait([this] {
+    is_stopped_ = true;
+    channels_.clear();
+    FailOpenCalls("the replica is shutting down");
+    lease_end_ = 0;
+    leading_term_ = 0;
+  });
+  // A write under way ends before the files are closed.
+  disk_loop_.RunAndWait([] {});
+}
+
+void replica::driver::Tick() {
+  if (is_stopped_) {
+    return;
+  }
+  core_->Tick(clock_.Now());
+  ExpireAnswers();
+  Flush();
+  const milliseconds interval =
+      std::clamp(settings_.heartbeat / kTicksPerHeartbeat, kShortestTick, kLongestTick);
+  loop_.After(interval, [this] { Tick(); });
+}
+
+void replica::driver::OnCall(raft_message request, rpc_callback<raft_message> respond) {
+  if (is_stopped_ || !is_started_) {
+    return respond(rpc_failure{error_kind::kShuttingDown, "the replica does not run", {}});
+  }
+  request.call = next_call_++;
+  const steady_time now = clock_.Now();
+  answers_[request.call] = {std::move(respond), now + settings_.election_timeout};
+  core_->Receive(request, now);
+  ScheduleFlush();
+}
+
+// Calls that the core ignores, for example of a former group, are never answered by it.
+void replica::driver::ExpireAnswers() {
+  const steady_time now = clock_.Now();
+  while (!answers_.empty() && answers_.begin()->second.deadline < now) {
+    const auto respond = std::move(answers_.begin()->second.respond);
+    answers_.erase(answers_.begin());
+    respond(rpc_failure{error_kind::kTimeout, "the replica did not answer", {}});
+  }
+}
+
+void replica::driver::ScheduleFlush() {
+  if (!std::exchange(is_flush_posted_, true)) {
+    loop_.Post([this] { Flush(); });
+  }
+}
+
+void replica::driver::Flush() {
+  is_flush_posted_ = false;
+  while (!is_stopped_) {
+    core_output output = core_->Take();
+    if (output.IsEmpty()) {
+      break;
+    }
+    Handle(std::move(output));
+    CompactIfDue();
+  }
+  if (!is_stopped_) {
+    Publish();
+  }
+}
+
+void replica::driver::Handle(core_output output) {
+  if (output.write) {
+    StartWrite(std::move(*output.write));
+  }
+  SendAll(std::move(output.messages));
+  if (output.restore) {
+    application_.restore(output.restore->data);
+  }
+  Apply(output.committed);
+  FinishReads(output.confirmed_reads, true);
+  FinishReads(output.failed_reads, false);
+}
+
+void replica::driver::StartWrite(storage_write write) {
+  disk_loop_.Post([this, write = std::move(write)] {
+    const std::string failure = Recover(
+        [&]() -> result<std::string> {
+          BOOST_LEAF_CHECK(store_->Write(write));
+          return std::string();
+        },
+        [](const error& cause) { return cause.detail; });
+    loop_.Post([this, sequence = write.sequence, failure] { OnWritten(sequence, failure); });
+  });
+}
+
+void replica::driver::OnWritten(std::uint64_t sequence, const std::string& failure) {
+  if (is_stopped_) {
+    return;
+  }
+  if (!failure.empty()) {
+    return StopWithFailure(failure);
+  }
+  core_->WriteDone(sequence, clock_.Now());
+  ScheduleFlush();
+}
+
+// After a failed write the content of the files is uncertain, and a second sync could report
+// success for lost data. The replica takes no further part until it is started again.
+void replica::driver::StopWithFailure(const std::string& cause) {
+  log_event(log_level::kError, "replica_storage_failed")
+      .Field("group", settings_.group)
+      .Field("cause", cause);
+  is_stopped_ = true;
+  channels_.clear();
+  FailOpenCalls("storage failed: " + cause);
+  lease_end_ = 0;
+  leading_term_ = 0;
+  {
+    const std::lock_guard guard(shared_lock_);
+    status_.role = "failed";
+    status_.failure = cause;
+    status_.leader.clear();
+  }
+  PublishLeadership();
+}
+
+void replica::driver::SendAll(std::vector<raft_message> messages) {
+  for (raft_message& message : messages) {
+    if (!IsAnswer(message.kind)) {
+      Call(std::move(message));
+    } else if (const auto found = answers_.find(message.call); found != answers_.end()) {
+      const auto respond = std::move(found->second.respond);
+      answers_.erase(found);
+      respond(std::move(message));
+    }
+  }
+}
+
+void replica::driver::Call(raft_message request) {
+  rpc_channel* channel = ChannelTo(request.to, request.to_id);
+  if (channel == nullptr) {
+    return;
+  }
+  const bool is_snapshot = request.kind == message_kind::kSnapshot;
+  const milliseconds timeout =
+      settings_.election_timeout * (is_snapshot ? kSnapshotTimeoutFactor : 1);
+  channel->Call<raft_message>(
+      MethodOf(request.kind), request, timeout,
+      [this, peer = request.to](const rpc_result<raft_message>& reply) {
+        const auto* answer = std::get_if<raft_message>(&reply);
+        if (is_stopped_ || answer == nullptr || answer->from != peer || !IsAnswer(answer->kind)) {
+          return;
+        }
+        core_->Receive(*answer, clock_.Now());
+        ScheduleFlush();
+      });
+}
+
+rpc_channel* replica::driver::ChannelTo(const std::string& name, std::uint64_t replica_id) {
+  if (const group_member* member = core_->Log().Members().Find(replica_id)) {
+    return &Channel(member->name, member->address);
+  }
+  for (const replica_member& member : settings_.members) {
+    if (member.name == name) {
+      return &Channel(name, FormatEndpoint(member.address));
+    }
+  }
+  return nullptr;
+}
+
+rpc_channel& replica::driver::Channel(const std::string& name, const std::string& address) {
+  std::unique_ptr<rpc_channel>& channel = channels_[name + "@" + address];
+  if (!channel) {
+    const endpoint target =
+        Recover([&] { return ParseEndpoint(address); }, [](const error&) { return endpoint(); });
+    channel = std::make_unique<rpc_channel>(loop_, identity_, target, name);
+  }
+  return *channel;
+}
+
+void replica::driver::DropStaleChannels() {
+  const core_log& log = core_->Log();
+  if (std::exchange(channels_members_index_, log.MembersIndex()) == log.MembersIndex()) {
+    return;
+  }
+  std::erase_if(channels_, [&](const auto& item) {
+    return std::none_of(log.Members().members.begin(), log.Members().members.end(),
+                        [&](const group_member& member) {
+                          return member.name + "@" + member.address == item.first;
+                        });
+  });
+}
+
+void replica::driver::Apply(const std::vector<log_entry>& entries) {
+  for (const log_entry& entry : entries) {
+    std::string applied;
+    if (entry.kind == entry_kind::kCommand) {
+      applied = application_.apply(entry.index, entry.data);
+    }
+    const auto found = proposals_.find(entry.index);
+    if (found == proposals_.end()) {
+      continue;
+    }
+    const pending_proposal proposal = std::move(found->second);
+    proposals_.erase(found);
+    if (proposal.term == entry.term) {
+      proposal.done(std::move(applied));
+    } else {
+      proposal.done(rpc_failure{error_kind::kNotAccepted, "another leader took over", {}});
+    }
+  }
+}
+
+void replica::driver::CompactIfDue() {
+  const std::uint64_t taken = core_->TakenIndex();
+  const std::uint64_t last = std::max(core_->Log().SnapshotIndex(), snapshot_asked_);
+  if (taken >= last + kSnapshotEvery) {
+    snapshot_asked_ = taken;
+    core_->Compact(taken, application_.snapshot());
+  }
+}
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/storage/file_disk.h
@@ -0,0 +1,37 @@
+/// A folder of the file system, locked against a second process.
+#pragma once
+
+#include "storage/disk.h"
+
+#include <map>
+#include <memory>
+
+namespace corianderhoist {
+
+class file_disk final : public disk {
+ public:
+  /// Creates the folder when it is missing. Fails with `kStorageFailed`, also when another process
+  /// uses the folder.
+  static result<std::unique_ptr<file_disk>> Open(const std::filesystem::path& folder);
+  ~file_disk() override;
+
+  result<std::vector<std::string>> List() override;
+  result<std::string> Read(const std::string& name) override;
+  result<void> Append(const std::string& name, std::string_view bytes) override;
+  result<void> Truncate(const std::string& name, std::uint64_t size) override;
+  result<void> Sync(const std::string& name) override;
+  result<void> Rename(const std::string& from, const std::string& to) override;
+  result<void> Remove(const std::string& name) override;
+  result<void> SyncFolder() override;
+
+ private:
+  explicit file_disk(std::filesystem::path folder) : folder_(std::move(folder)) {}
+  result<int> Descriptor(const std::string& name);
+  void Forget(const std::string& name);
+
+  const std::filesystem::path folder_;
+  int folder_descriptor_ = -1;
+  std::map<std::string, int> open_files_;
+};
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/storage/format.h
@@ -0,0 +1,50 @@
+/// Binary forms of log records, the state file and snapshot files. Integers are little endian.
+///
+/// A log record is a header (length of the body, CRC-32C of the body, index, first index of its
+/// batch, CRC-32C of the header) and a body (term, kind, data). A batch is what one sync makes
+/// durable.
+#pragma once
+
+#include "base/error.h"
+#include "storage/records.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace corianderhoist {
+
+inline constexpr std::uint32_t kFormatVersion = 1;
+
+std::uint32_t Crc32c(std::string_view bytes);
+
+/// Header of a segment file whose first entry is `first_index`.
+std::string EncodeSegmentHeader(std::uint64_t first_index);
+std::size_t SegmentHeaderSize();
+
+/// Appends the record of `entry` to `out`.
+void AppendRecord(std::string& out, const log_entry& entry, std::uint64_t batch_first);
+
+/// The readable part of a segment.
+struct segment_content {
+  std::vector<log_entry> entries;
+  std::vector<std::uint64_t> offsets;  ///< Of each entry.
+  std::uint64_t size = 0;              ///< End of the last whole record; 0 without header.
+  bool is_torn = false;                ///< An unfinished batch follows at `size`.
+};
+
+/// Reads a segment. Fails with `kStorageDamaged` when a record is bad that was once synced. A bad
+/// record counts as torn (written, never synced) only if it is cut by the end of the file or has a
+/// sector without data, and if no record behind it belongs to a later batch.
+result<segment_content> DecodeSegment(const std::string& name,
+                                      std::string_view bytes,
+                                      std::uint64_t first_index);
+
+std::string EncodeState(const hard_state& state);
+result<hard_state> DecodeState(std::string_view bytes);
+
+std::string EncodeSnapshot(const snapshot& content);
+result<snapshot> DecodeSnapshot(const std::string& name, std::string_view bytes);
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/storage/replica_store.cpp
@@ -0,0 +1,242 @@
+#include "storage/replica_store.h"
+
+#include "storage/format.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cstdlib>
+#include <iterator>
+
+namespace corianderhoist {
+namespace {
+
+const std::string kStateName = "state";
+const std::string kSnapshotName = "snapshot";
+constexpr std::string_view kSegmentPrefix = "log-";
+constexpr int kIndexDigits = 20;
+constexpr std::size_t kSegmentEntries = 1000;
+constexpr std::uint64_t kSegmentBytes = 4 << 20;
+
+std::string SegmentName(std::uint64_t first_index) {
+  std::string digits = std::to_string(first_index);
+  return std::string(kSegmentPrefix) +
+         std::string(static_cast<std::size_t>(kIndexDigits) - digits.size(), '0') + digits;
+}
+
+bool Contains(const std::vector<std::string>& names, const std::string& name) {
+  return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+auto Damaged(const std::string& cause) {
+  return Fail(error_kind::kStorageDamaged,
+              cause + "; empty the data folder, replace the member and let it rejoin as a learner");
+}
+
+}  // namespace
+
+result<std::unique_ptr<replica_store>> replica_store::Open(disk& files,
+                                                           std::uint64_t new_replica_id) {
+  std::unique_ptr<replica_store> store(new replica_store(files));
+  BOOST_LEAF_CHECK(store->Recover(new_replica_id));
+  return store;
+}
+
+result<void> replica_store::Recover(std::uint64_t new_replica_id) {
+  BOOST_LEAF_AUTO(names, files_.List());
+  for (const std::string& name : names) {
+    if (name.ends_with(kTemporaryEnding)) {
+      BOOST_LEAF_CHECK(files_.Remove(name));
+    }
+  }
+  BOOST_LEAF_CHECK(RecoverState(names, new_replica_id));
+  if (Contains(names, kSnapshotName)) {
+    BOOST_LEAF_AUTO(bytes, files_.Read(kSnapshotName));
+    BOOST_LEAF_AUTO(content, DecodeSnapshot(kSnapshotName, bytes));
+    recovered_.last_snapshot = std::make_shared<const snapshot>(std::move(content));
+  }
+  BOOST_LEAF_CHECK(RecoverSegments(names));
+  return MatchLogToSnapshot();
+}
+
+result<void> replica_store::RecoverState(const std::vector<std::string>& names,
+                                         std::uint64_t new_replica_id) {
+  if (Contains(names, kStateName)) {
+    BOOST_LEAF_AUTO(bytes, files_.Read(kStateName));
+    BOOST_LEAF_ASSIGN(state_, DecodeState(bytes));
+  } else {
+    const bool is_used = std::any_of(names.begin(), names.end(), [](const std::string& name) {
+      return name == kSnapshotName || name.starts_with(kSegmentPrefix);
+    });
+    if (is_used) {
+      return Damaged("the state file is missing beside a log");
+    }
+    assert(new_replica_id != 0 && "a replica id must not be 0");
+    BOOST_LEAF_CHECK(WriteState(hard_state{new_replica_id, 0, 0, 0}));
+  }
+  recovered_.state = state_;
+  return {};
+}
+
+result<void> replica_store::RecoverSegments(const std::vector<std::string>& names) {
+  std::vector<std::string> segment_names;
+  std::copy_if(names.begin(), names.end(), std::back_inserter(segment_names),
+               [](const std::string& name) { return name.starts_with(kSegmentPrefix); });
+  std::sort(segment_names.begin(), segment_names.end());
+  for (const std::string& name : segment_names) {
+    BOOST_LEAF_CHECK(RecoverSegment(name, name == segment_names.back()));
+  }
+  return {};
+}
+
+result<void> replica_store::RecoverSegment(const std::string& name, bool is_last) {
+  const std::uint64_t first_index =
+      std::strtoull(name.c_str() + kSegmentPrefix.size(), nullptr, 10);
+  if (SegmentName(first_index) != name) {
+    return Damaged("file " + name + " does not belong to the log");
+  }
+  if (!segments_.empty() && segments_.back().EndIndex() != first_index) {
+    return Damaged("entries before " + name + " are missing");
+  }
+  BOOST_LEAF_AUTO(bytes, files_.Read(name));
+  BOOST_LEAF_AUTO(content, DecodeSegment(name, bytes, first_index));
+  if (content.is_torn && !is_last) {
+    return Damaged(name + " is cut");
+  }
+  if (content.size == 0) {  // The crash came before the first sync of the segment.
+    BOOST_LEAF_CHECK(files_.Remove(name));
+    return files_.SyncFolder();
+  }
+  if (content.is_torn) {
+    BOOST_LEAF_CHECK(files_.Truncate(name, content.size));
+    BOOST_LEAF_CHECK(files_.Sync(name));
+  }
+  segments_.push_back({name, first_index, content.size, std::move(content.offsets)});
+  std::move(content.entries.begin(), content.entries.end(), std::back_inserter(recovered_.entries));
+  return {};
+}
+
+// A crash can separate the new snapshot, the new group or the removal of the old log from each
+// other. Entries behind the snapshot are kept only if they continue it.
+result<void> replica_store::MatchLogToSnapshot() {
+  const snapshot_ptr& last = recovered_.last_snapshot;
+  const std::vector<log_entry>& entries = recovered_.entries;
+  if (state_.group == 0) {
+    if (last) {
+      BOOST_LEAF_CHECK(files_.Remove(kSnapshotName));
+      BOOST_LEAF_CHECK(files_.SyncFolder());
+      recovered_.last_snapshot = nullptr;
+    }
+    return DropLog();
+  }
+  if (!last && entries.empty()) {
+    return Damaged("the replica belongs to a group, but log and snapshot are missing");
+  }
+  const std::uint64_t base = last ? last->index : 0;
+  if (entries.empty()) {
+    return {};
+  }
+  const std::uint64_t first = entries.front().index;
+  if (first > base + 1) {
+    return Damaged("entries before " + std::to_string(first) + " are missing");
+  }
+  const bool is_continued = first == base + 1 || (entries.back().index >= base &&
+                                                  entries[base - first].term == last->term);
+  return is_continued ? result<void>() : DropLog();
+}
+
+result<void> replica_store::DropLog() {
+  recovered_.entries.clear();
+  return TruncateFrom(0);
+}
+
+result<void> replica_store::Write(const storage_write& write) {
+  if (!failure_.empty()) {
+    return Fail(error_kind::kStorageFailed, failure_);
+  }
+  return boost::leaf::try_handle_some([&] { return WriteAll(write); },
+                                      [&](const error& cause) -> result<void> {
+                                        failure_ = cause.detail;
+                                        return Fail(cause.kind, cause.detail);
+                                      });
+}
+
+result<void> replica_store::WriteAll(const storage_write& write) {
+  // A state that names a group must find the log of that group, so that a lost log is noticed.
+  const bool is_joining = write.state && state_.group == 0 && write.state->group != 0;
+  if (write.state && !is_joining) {
+    BOOST_LEAF_CHECK(WriteState(*write.state));
+  }
+  if (write.new_snapshot) {
+    BOOST_LEAF_CHECK(ReplaceFile(files_, kSnapshotName, EncodeSnapshot(*write.new_snapshot)));
+  }
+  if (write.truncate_from != 0) {
+    BOOST_LEAF_CHECK(TruncateFrom(write.truncate_from));
+  }
+  if (!write.entries.empty()) {
+    BOOST_LEAF_CHECK(AppendEntries(write.entries));
+  }
+  if (is_joining) {
+    BOOST_LEAF_CHECK(WriteState(*write.state));
+  }
+  return write.keep_from != 0 ? DropBefore(write.keep_from) : result<void>();
+}
+
+result<void> replica_store::WriteState(const hard_state& state) {
+  BOOST_LEAF_CHECK(ReplaceFile(files_, kStateName, EncodeState(state)));
+  state_ = state;
+  return {};
+}
+
+// Removes segments from the last one backwards, so that a crash leaves a log without gaps. The
+// shorter file is synced before anything is appended to it; otherwise old and new records could
+// mix.
+result<void> replica_store::TruncateFrom(std::uint64_t index) {
+  while (!segments_.empty() && segments_.back().first_index >= index) {
+    BOOST_LEAF_CHECK(files_.Remove(segments_.back().name));
+    BOOST_LEAF_CHECK(files_.SyncFolder());
+    segments_.pop_back();
+  }
+  if (segments_.empty() || segments_.back().EndIndex() <= index) {
+    return {};
+  }
+  segment& last = segments_.back();
+  last.size = last.offsets[index - last.first_index];
+  last.offsets.resize(index - last.first_index);
+  BOOST_LEAF_CHECK(files_.Truncate(last.name, last.size));
+  return files_.Sync(last.name);
+}
+
+result<void> replica_store::AppendEntries(const std::vector<log_entry>& entries) {
+  assert((segments_.empty() || segments_.back().EndIndex() == entries.front().index) &&
+         "entries must continue the log");
+  if (segments_.empty() || segments_.back().offsets.size() >= kSegmentEntries ||
+      segments_.back().size >= kSegmentBytes) {
+    segments_.push_back({SegmentName(entries.front().index), entries.front().index, 0, {}});
+  }
+  return AppendToSegment(entries);
+}
+
+result<void> replica_store::AppendToSegment(const std::vector<log_entry>& entries) {
+  segment& last = segments_.back();
+  const bool is_new = last.size == 0;
+  std::string bytes = is_new ? EncodeSegmentHeader(last.first_index) : std::string();
+  for (const log_entry& entry : entries) {
+    last.offsets.push_back(last.size + bytes.size());
+    AppendRecord(bytes, entry, entries.front().index);
+  }
+  last.size += bytes.size();
+  BOOST_LEAF_CHECK(files_.Append(last.name, bytes));
+  BOOST_LEAF_CHECK(files_.Sync(last.name));
+  return is_new ? files_.SyncFolder() : result<void>();
+}
+
+result<void> replica_store::DropBefore(std::uint64_t index) {
+  while (segments_.size() > 1 && segments_[1].first_index <= index) {
+    BOOST_LEAF_CHECK(files_.Remove(segments_.front().name));
+    BOOST_LEAF_CHECK(files_.SyncFolder());
+    segments_.erase(segments_.begin());
+  }
+  return {};
+}
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/storage/replica_store.h
@@ -0,0 +1,66 @@
+/// The data folder of one replica: state file, snapshot file and log segments.
+///
+/// Files: `state`; `snapshot`; `log-<first index>`, one per segment. A new segment starts after
+/// 1,000 entries or 4 MiB; segments that a snapshot makes superfluous are removed, which bounds the
+/// use of disk.
+#pragma once
+
+#include "storage/disk.h"
+#include "storage/records.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace corianderhoist {
+
+class replica_store {
+ public:
+  /// Recovers the folder; `new_replica_id` is used when the folder is empty. Fails with
+  /// `kStorageFailed` or, when synced data is missing or damaged, with `kStorageDamaged`.
+  static result<std::unique_ptr<replica_store>> Open(disk& files, std::uint64_t new_replica_id);
+
+  /// What `Open` found. May be taken once.
+  stored_state TakeRecovered() { return std::move(recovered_); }
+
+  /// Makes `write` durable with one sync of the log. After a failure (`kStorageFailed`) the content
+  /// of the files is uncertain until the next `Open`, so that all later writes fail, too.
+  result<void> Write(const storage_write& write);
+
+  /// Text of the failure that ended writing; empty while there is none.
+  const std::string& Failure() const { return failure_; }
+
+ private:
+  struct segment {
+    std::string name;
+    std::uint64_t first_index = 0;
+    std::uint64_t size = 0;
+    std::vector<std::uint64_t> offsets;
+
+    std::uint64_t EndIndex() const { return first_index + offsets.size(); }
+  };
+
+  explicit replica_store(disk& files) : files_(files) {}
+  result<void> Recover(std::uint64_t new_replica_id);
+  result<void> RecoverState(const std::vector<std::string>& names, std::uint64_t new_replica_id);
+  result<void> RecoverSegments(const std::vector<std::string>& names);
+  result<void> RecoverSegment(const std::string& name, bool is_last);
+  result<void> MatchLogToSnapshot();
+  result<void> DropLog();
+
+  result<void> WriteAll(const storage_write& write);
+  result<void> WriteState(const hard_state& state);
+  result<void> TruncateFrom(std::uint64_t index);
+  result<void> AppendEntries(const std::vector<log_entry>& entries);
+  result<void> AppendToSegment(const std::vector<log_entry>& entries);
+  result<void> DropBefore(std::uint64_t index);
+
+  disk& files_;
+  stored_state recovered_;
+  hard_state state_;
+  std::vector<segment> segments_;
+  std::string failure_;
+};
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/tests/support/replica_group.h
@@ -0,0 +1,75 @@
+/// Replicas of one group in this process, over real sockets and folders.
+#pragma once
+
+#include "consensus/replica.h"
+#include "support/test_fleet_keys.h"
+
+#include <chrono>
+#include <filesystem>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace corianderhoist {
+
+/// An application that keeps all commands. Thread safe, so that tests can look at it.
+class command_list {
+ public:
+  std::string Apply(std::uint64_t index, std::string_view command);
+  std::string Snapshot();
+  void Restore(std::string_view bytes);
+  std::vector<std::string> Commands() const;
+
+ private:
+  mutable std::mutex lock_;
+  std::vector<std::string> commands_;
+};
+
+class replica_group {
+ public:
+  struct node {
+    std::string name;
+    endpoint address;
+    std::filesystem::path folder;
+    std::unique_ptr<rpc_server> server;
+    std::unique_ptr<command_list> application;
+    std::unique_ptr<replica> member;
+  };
+
+  /// `size` first members, none of them started. `extra` more can be added as learners.
+  explicit replica_group(
+      std::size_t size,
+      std::size_t extra = 0,
+      std::chrono::milliseconds election_timeout = std::chrono::milliseconds(700));
+  ~replica_group();
+
+  void Start(std::size_t index);
+  void StartAll();
+  /// Ends the objects of one member; its folder stays.
+  void Stop(std::size_t index);
+  void Wipe(std::size_t index);
+
+  node& At(std::size_t index) { return nodes_[index]; }
+  std::size_t Size() const { return nodes_.size(); }
+  replica_member MemberOf(std::size_t index) const;
+
+  /// Waits until one started member leads with a lease; returns its position.
+  std::size_t WaitForLeader();
+  /// Proposes at `index` and waits for the result.
+  rpc_result<std::string> ProposeAt(std::size_t index, const std::string& command);
+  /// Proposes at the leader until the command is accepted.
+  void ProposeUntilAccepted(const std::string& command);
+
+ private:
+  test_fleet_keys keys_;
+  process_clock clock_;
+  replica_settings settings_;
+  std::filesystem::path folder_;
+  std::vector<node> nodes_;
+};
+
+/// Waits until `condition` holds; throws after a minute.
+void WaitUntil(const std::string& what, const std::function<bool()>& condition);
+
+}  // namespace corianderhoist
