--- a/src/control/configuration.cpp
+++ b/src/control/configuration.cpp
@@ -101,10 +101,10 @@
   if (const auto* faults = std::get_if<std::vector<rules_fault>>(&parsed)) {
     return Fail(error_kind::kInvalidRules, FormatFault("snapshot", faults->front()));
   }
-  std::map<digest, key_record> keys;
+  chunked_map<digest, key_record> keys;
   for (const key_record& key : snapshot.keys) {
     if (!key.is_withdrawn) {
-      keys.emplace_hint(keys.end(), key.key_hash, key);
+      keys.emplace(key.key_hash, key);
     }
   }
   rules_ = std::move(std::get<rule_set>(parsed));
--- a/src/control/configuration.h
+++ b/src/control/configuration.h
@@ -1,6 +1,7 @@
 /// The configuration that operators change: rules and workspace keys, with a version.
 #pragma once
 
+#include "base/chunked_map.h"
 #include "base/error.h"
 #include "base/hash.h"
 #include "rules/rule_set.h"
@@ -8,7 +9,6 @@
 
 #include <chrono>
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -118,7 +118,8 @@
   static void ForEachField(Self&, Visitor&&) {}
 };
 
-/// The configuration with lookups. Not thread safe; share immutable copies.
+/// The configuration with lookups. Not thread safe; share immutable copies, which are cheap: they
+/// share their memory until one of them changes.
 class configuration {
  public:
   std::uint64_t Version() const { return version_; }
@@ -127,7 +128,7 @@
   std::uint64_t RoutingVersion() const { return routing_version_; }
   const rule_set& Rules() const { return rules_; }
   /// The keys in use; a withdrawn key is dropped, so that the state does not grow with history.
-  const std::map<digest, key_record>& Keys() const { return keys_; }
+  const chunked_map<digest, key_record>& Keys() const { return keys_; }
 
   /// Returns the key in use with this hash, or null when it is unknown or withdrawn.
   const key_record* FindKey(const digest& key_hash) const;
@@ -148,7 +149,7 @@
   std::uint64_t version_ = 0;
   std::uint64_t routing_version_ = 0;
   rule_set rules_;
-  std::map<digest, key_record> keys_;
+  chunked_map<digest, key_record> keys_;
 };
 
 }  // namespace corianderhoist
--- a/src/rules/rule_line.cpp
+++ b/src/rules/rule_line.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <set>
 
 namespace corianderhoist {
 namespace {
@@ -246,17 +247,24 @@
     value.places = ReadPlaces(Require("places", "places=REGION[/DATA_CENTRE],..."));
     value.rate_per_second = ReadNumber("rate", "/s", 1, kMaxRate);
     value.burst = ReadNumber("burst", "", 1, kMaxRate);
-    if (const attribute* services = FindAttribute("services")) {
-      for (const word& each : Split(services->value.text, services->value.column, ",")) {
-        if (ReadServiceName(each) && !value.services.emplace(each.text).second) {
-          Fault(each.column, "service " + Quoted(each.text) + " is given twice", "give it once");
-        }
-      }
-    }
+    value.services = ReadServices(FindAttribute("services"));
     value.requested_by = requested_by_;
     parsed_.value = std::move(value);
   }
 
+  std::set<std::string> ReadServices(const attribute* found) {
+    std::set<std::string> services;
+    if (found == nullptr) {
+      return services;
+    }
+    for (const word& each : Split(found->value.text, found->value.column, ",")) {
+      if (ReadServiceName(each) && !services.emplace(each.text).second) {
+        Fault(each.column, "service " + Quoted(each.text) + " is given twice", "give it once");
+      }
+    }
+    return services;
+  }
+
   bool ReadServiceName(const word& name) {
     if (!IsName(name.text)) {
       Fault(name.column, Quoted(name.text) + " is not a name", std::string(kNameRemedy));
@@ -274,7 +282,7 @@
     }
     route_rule value;
     parsed_.name_column = words_[1].column;
-    ReadMethods(value);
+    value.methods = ReadMethods(words_[1]);
     ReadPath(value);
     ReadAttributes(3, " service access places run timeout ");
     if (const attribute* service = Require("service", "service=NAME")) {
@@ -292,16 +300,18 @@
     parsed_.value = std::move(value);
   }
 
-  void ReadMethods(route_rule& value) {
+  std::set<std::string> ReadMethods(const word& list) {
+    std::set<std::string> methods;
     const std::vector<std::string_view>& known = RouteMethods();
-    for (const word& each : Split(words_[1].text, words_[1].column, ",")) {
+    for (const word& each : Split(list.text, list.column, ",")) {
       if (std::find(known.begin(), known.end(), each.text) == known.end()) {
         Fault(each.column, "unknown method " + Quoted(each.text),
               "use DELETE, GET, HEAD, OPTIONS, PATCH, POST or PUT, separated by commas");
-      } else if (!value.methods.emplace(each.text).second) {
+      } else if (!methods.emplace(each.text).second) {
         Fault(each.column, "method " + Quoted(each.text) + " is given twice", "give it once");
       }
     }
+    return methods;
   }
 
   // Requests are matched by their normalised path, so a prefix must be in that form.
@@ -382,12 +392,6 @@
 
 }  // namespace
 
-const std::vector<std::string_view>& RouteMethods() {
-  static const std::vector<std::string_view> kMethods = {"DELETE", "GET",  "HEAD", "OPTIONS",
-                                                         "PATCH",  "POST", "PUT"};
-  return kMethods;
-}
-
 std::optional<parsed_rule> ParseRuleLine(std::string_view line,
                                          std::size_t number,
                                          std::vector<rules_fault>& faults) {
--- a/src/rules/rule_line.h
+++ b/src/rules/rule_line.h
@@ -5,7 +5,9 @@
 #include "rules/rules_file.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -42,4 +44,9 @@
 /// Methods that a route may name, in alphabetical order.
 const std::vector<std::string_view>& RouteMethods();
 
+/// A set of methods with one bit per method, in the order of `RouteMethods`.
+using method_mask = std::uint32_t;
+method_mask MaskOf(const std::set<std::string>& methods);
+std::vector<std::string> MethodsOf(method_mask mask);
+
 }  // namespace corianderhoist
--- a/src/rules/rule_set.h
+++ b/src/rules/rule_set.h
@@ -1,10 +1,13 @@
-/// The typed form of a rules file.
+/// The typed form of a rules file. Values that many rules share are interned, because a set may
+/// hold a million rules.
 #pragma once
 
+#include "base/chunked_map.h"
+#include "base/interned.h"
+
 #include <chrono>
 #include <compare>
 #include <cstdint>
-#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -19,6 +22,14 @@
   auto operator<=>(const place&) const = default;
 };
 
+inline std::size_t PoolHash(const std::vector<place>& places) {
+  std::size_t hash = 0;
+  for (const place& each : places) {
+    hash = hash * 31 + PoolHash(each.region) + 17 * PoolHash(each.data_centre);
+  }
+  return hash;
+}
+
 /// `service NAME floor=PERCENT`
 struct service_rule {
   std::string name;
@@ -31,12 +42,12 @@
 /// `workspace NAME places=... rate=N/s burst=N [services=...]`
 struct workspace_rule {
   std::string name;
-  std::vector<place>
-      places;  ///< In order of preference; the first one's region is the home region.
+  /// In order of preference; the first one's region is the home region.
+  interned<std::vector<place>> places;
   std::uint64_t rate_per_second = 0;
   std::uint64_t burst = 0;
-  std::set<std::string> services;  ///< Empty: all services.
-  std::string requested_by;
+  interned<std::set<std::string>> services;  ///< Empty: all services.
+  interned_text requested_by;
 
   auto operator<=>(const workspace_rule&) const = default;
   const std::string& HomeRegion() const { return places.front().region; }
@@ -52,27 +63,28 @@
 
 /// `route METHODS PATH_PREFIX service=NAME ...`
 struct route_rule {
-  std::set<std::string> methods;
+  interned<std::set<std::string>> methods;
   std::string path_prefix;  ///< Begins with "/"; matches whole path segments.
-  std::string service;
+  interned_text service;
   route_access access = route_access::kKeyed;
-  std::vector<place> places;  ///< Of open routes only.
+  interned<std::vector<place>> places;  ///< Of open routes only.
   route_run run = route_run::kOnce;
   std::chrono::milliseconds timeout = kDefaultRouteTimeout;
-  std::string requested_by;
+  interned_text requested_by;
 
   auto operator<=>(const route_rule&) const = default;
   /// "GET,HEAD /stock": identifies the route within a rule set.
   std::string Id() const;
 };
 
-/// All rules that are in force together. Keys are names, for routes `Id()`.
+/// All rules that are in force together. Keys are names, for routes `Id()`. A copy shares its
+/// memory with the original until one of them changes.
 struct rule_set {
-  std::map<std::string, service_rule> services;
-  std::map<std::string, workspace_rule> workspaces;
-  std::map<std::string, route_rule> routes;
+  chunked_map<std::string, service_rule> services;
+  chunked_map<std::string, workspace_rule> workspaces;
+  chunked_map<std::string, route_rule> routes;
 
-  auto operator<=>(const rule_set&) const = default;
+  bool operator==(const rule_set&) const = default;
 };
 
 }  // namespace corianderhoist
--- a/src/rules/rule_text.cpp
+++ b/src/rules/rule_text.cpp
@@ -34,6 +34,33 @@
 
 }  // namespace
 
+const std::vector<std::string_view>& RouteMethods() {
+  static const std::vector<std::string_view> kMethods = {"DELETE", "GET",  "HEAD", "OPTIONS",
+                                                         "PATCH",  "POST", "PUT"};
+  return kMethods;
+}
+
+method_mask MaskOf(const std::set<std::string>& methods) {
+  method_mask mask = 0;
+  const std::vector<std::string_view>& known = RouteMethods();
+  for (const std::string& method : methods) {
+    const auto found = std::find(known.begin(), known.end(), method);
+    mask |= found == known.end() ? 0U : 1U << (found - known.begin());
+  }
+  return mask;
+}
+
+std::vector<std::string> MethodsOf(method_mask mask) {
+  std::vector<std::string> methods;
+  for (const std::string_view method : RouteMethods()) {
+    if ((mask & 1U) != 0) {
+      methods.emplace_back(method);
+    }
+    mask >>= 1U;
+  }
+  return methods;
+}
+
 std::string route_rule::Id() const {
   return JoinTexts(methods) + ' ' + path_prefix;
 }
--- a/src/rules/rules_difference.cpp
+++ b/src/rules/rules_difference.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <cstdint>
-#include <map>
 #include <unordered_map>
 
 namespace corianderhoist {
@@ -17,7 +16,7 @@
 }
 
 template <class Rule>
-using rules_by_key = std::map<std::string, Rule>;
+using rules_by_key = chunked_map<std::string, Rule>;
 
 template <class Rule>
 rules_by_key<Rule>& Select(rule_set& rules) {
@@ -70,17 +69,6 @@
   return parsed;
 }
 
-using method_mask = std::uint32_t;
-
-method_mask MaskOf(const std::set<std::string>& methods) {
-  method_mask mask = 0;
-  const std::vector<std::string_view>& known = RouteMethods();
-  for (std::size_t i = 0; i < known.size(); ++i) {
-    mask |= methods.contains(std::string(known[i])) ? 1U << i : 0U;
-  }
-  return mask;
-}
-
 // A set of methods as it begins the id of a route.
 struct method_set {
   method_mask mask = 0;
@@ -90,13 +78,10 @@
 const std::vector<method_set>& MethodSets() {
   static const std::vector<method_set> kSets = [] {
     std::vector<method_set> all;
-    const std::vector<std::string_view>& known = RouteMethods();
-    for (method_mask mask = 1; mask < (1U << known.size()); ++mask) {
+    for (method_mask mask = 1; mask < (1U << RouteMethods().size()); ++mask) {
       method_set each{mask, {}};
-      for (std::size_t i = 0; i < known.size(); ++i) {
-        if ((mask >> i & 1U) != 0) {
-          each.text += (each.text.empty() ? "" : ",") + std::string(known[i]);
-        }
+      for (const std::string& method : MethodsOf(mask)) {
+        each.text += (each.text.empty() ? "" : ",") + method;
       }
       all.push_back(std::move(each));
     }
@@ -219,11 +204,13 @@
 template <class Rule>
 void Move(rules_by_key<Rule>& rules,
           const rules_by_key<Rule>& removed,
-          rules_by_key<Rule>&& added) {
+          const rules_by_key<Rule>& added) {
   for (const auto& [key, value] : removed) {
     rules.erase(key);
   }
-  rules.merge(added);
+  for (const auto& [key, value] : added) {
+    rules.emplace(key, value);
+  }
 }
 
 }  // namespace
@@ -234,9 +221,9 @@
   BOOST_LEAF_AUTO(removed, ParseLines(difference.removed, nullptr));
   BOOST_LEAF_AUTO(added, ParseLines(difference.added, known_regions));
   BOOST_LEAF_CHECK(difference_check(rules, removed, added).Check());
-  Move(rules.services, removed.services, std::move(added.services));
-  Move(rules.workspaces, removed.workspaces, std::move(added.workspaces));
-  Move(rules.routes, removed.routes, std::move(added.routes));
+  Move(rules.services, removed.services, added.services);
+  Move(rules.workspaces, removed.workspaces, added.workspaces);
+  Move(rules.routes, removed.routes, added.routes);
   return {};
 }
 
--- a/src/rules/rules_file.cpp
+++ b/src/rules/rules_file.cpp
@@ -77,31 +77,29 @@
     InsertInto(rules_.workspaces, std::move(key), std::move(value), line, column);
   }
   void Insert(route_rule value, std::size_t line, std::size_t column) {
-    std::vector<std::string>& taken = methods_of_path_[value.path_prefix];
-    for (const std::string& method : value.methods) {
-      if (std::find(taken.begin(), taken.end(), method) != taken.end()) {
-        faults_.push_back({line, column,
-                           "another route has " + method + " " + value.path_prefix + " already",
-                           "remove " + method + " from one of the two routes"});
-        return;
-      }
-      taken.push_back(method);
+    const method_mask mask = MaskOf(value.methods);
+    method_mask& taken = methods_of_path_[value.path_prefix];
+    if ((taken & mask) != 0) {
+      const std::string method = MethodsOf(taken & mask).front();
+      faults_.push_back({line, column,
+                         "another route has " + method + " " + value.path_prefix + " already",
+                         "remove " + method + " from one of the two routes"});
+      return;
     }
+    taken |= mask;
     std::string key = value.Id();
     InsertInto(rules_.routes, std::move(key), std::move(value), line, column);
   }
 
   template <class Rule>
-  void InsertInto(std::map<std::string, Rule>& rules,
+  void InsertInto(chunked_map<std::string, Rule>& rules,
                   std::string key,
                   Rule value,
                   std::size_t line,
                   std::size_t column) {
-    const std::size_t size = rules.size();
-    // Canonical files are sorted, so the end is the right place as a rule.
-    const auto inserted = rules.emplace_hint(rules.end(), std::move(key), std::move(value));
-    if (rules.size() == size) {
-      faults_.push_back({line, column, Quoted(inserted->first) + " is declared twice",
+    const auto [entry, is_new] = rules.emplace(std::move(key), std::move(value));
+    if (!is_new) {
+      faults_.push_back({line, column, Quoted(entry->first) + " is declared twice",
                          "remove one of the two lines"});
     }
   }
@@ -138,19 +136,19 @@
   rule_set rules_;
   std::vector<rules_fault> faults_;
   std::vector<pending_reference> services_;
-  std::unordered_map<std::string, std::vector<std::string>> methods_of_path_;
+  std::unordered_map<std::string, method_mask> methods_of_path_;
 };
 
 template <class Rule>
-void AppendLines(const std::map<std::string, Rule>& rules, std::vector<std::string>& lines) {
+void AppendLines(const chunked_map<std::string, Rule>& rules, std::vector<std::string>& lines) {
   for (const auto& [name, rule] : rules) {
     lines.push_back(FormatRule(rule));
   }
 }
 
 template <class Rule>
-void AppendDifference(const std::map<std::string, Rule>& from,
-                      const std::map<std::string, Rule>& to,
+void AppendDifference(const chunked_map<std::string, Rule>& from,
+                      const chunked_map<std::string, Rule>& to,
                       rules_difference& difference) {
   auto left = from.begin();
   auto right = to.begin();
