--- a/src/coordinator/coordinator_acquire.cpp
+++ b/src/coordinator/coordinator_acquire.cpp
@@ -47,16 +47,15 @@
   return {kind, std::move(detail), {}};
 }
 
-std::vector<place> PlacesOf(const configuration& config, const acquire_request& request) {
+const std::vector<place>* PlacesOf(const configuration& config, const acquire_request& request) {
   if (request.workspace.empty()) {
     const auto route = config.Rules().routes.find(request.route_id);
     return route != config.Rules().routes.end() && route->second.access == route_access::kOpen
-               ? route->second.places
-               : std::vector<place>();
+               ? &route->second.places.Value()
+               : nullptr;
   }
   const auto workspace = config.Rules().workspaces.find(request.workspace);
-  return workspace == config.Rules().workspaces.end() ? std::vector<place>()
-                                                      : workspace->second.places;
+  return workspace == config.Rules().workspaces.end() ? nullptr : &workspace->second.places.Value();
 }
 
 }  // namespace
@@ -114,10 +113,11 @@
         return Failure(error_kind::kKeyUnknown, "the key is unknown or withdrawn");
       }
     }
-    subject.places = PlacesOf(config, request);
-    if (subject.places.empty()) {
+    const std::vector<place>* places = PlacesOf(config, request);
+    if (places == nullptr || places->empty()) {
       return Failure(error_kind::kNoPlace, "no rule allows this request a place");
     }
+    subject.places = *places;
     if (subject.is_keyed) {
       const workspace_rule& rule = config.Rules().workspaces.at(request.workspace);
       if (!rule.services.empty() && !rule.services.contains(request.service)) {
--- a/src/coordinator/region_state.cpp
+++ b/src/coordinator/region_state.cpp
@@ -18,6 +18,16 @@
 constexpr std::size_t kKeptChanges = 1000;
 constexpr std::size_t kKeptEjections = 10'000;
 
+// Name of the workspace that a canonical rule line is about.
+std::optional<std::string> WorkspaceOf(std::string_view line) {
+  constexpr std::string_view kKind = "workspace ";
+  if (!line.starts_with(kKind)) {
+    return std::nullopt;
+  }
+  line.remove_prefix(kKind.size());
+  return std::string(line.substr(0, line.find(' ')));
+}
+
 rate_limit LimitOf(const workspace_rule& rule) {
   return {rule.rate_per_second, rule.burst};
 }
@@ -107,30 +117,34 @@
 
 // A new limit must not raise what a new leader may count on, and a workspace that moves into this
 // region may have used its tokens in its former one.
-std::vector<limit_change> region_state::AdjustGuarantees(
-    const std::map<std::string, workspace_rule>& former) {
+void region_state::AdjustGuarantee(const std::string& workspace,
+                                   const workspace_rule& before,
+                                   const workspace_rule& rule,
+                                   std::vector<limit_change>& changed) {
+  const bool is_moved = before.HomeRegion() != rule.HomeRegion();
+  if (!is_moved && LimitOf(before) == LimitOf(rule)) {
+    return;
+  }
+  const auto found = guarantees_.find(workspace);
+  const std::uint64_t held =
+      found == guarantees_.end() ? DefaultGuarantee(LimitOf(before)) : found->second;
+  guarantees_[workspace] = is_moved ? 0 : std::min(held, DefaultGuarantee(LimitOf(rule)));
+  changed.push_back({workspace, rule.rate_per_second, rule.burst});
+}
+
+std::vector<limit_change> region_state::AdjustGuarantees(const rule_set& former,
+                                                         const std::set<std::string>& touched) {
   std::vector<limit_change> changed;
-  const auto& current = config_.Rules().workspaces;
-  for (const auto& [name, rule] : current) {
-    const auto before = former.find(name);
-    if (before == former.end() || before->second == rule) {
+  for (const std::string& workspace : touched) {
+    const auto before = former.workspaces.find(workspace);
+    const auto rule = config_.Rules().workspaces.find(workspace);
+    if (before == former.workspaces.end()) {
       continue;
     }
-    const std::uint64_t own = DefaultGuarantee(LimitOf(rule));
-    const auto found = guarantees_.find(name);
-    const bool is_moved = before->second.HomeRegion() != rule.HomeRegion();
-    const std::uint64_t held = is_moved ? 0
-                               : found == guarantees_.end()
-                                   ? DefaultGuarantee(LimitOf(before->second))
-                                   : found->second;
-    if (is_moved || LimitOf(before->second) != LimitOf(rule)) {
-      guarantees_[name] = std::min(held, own);
-      changed.push_back({name, rule.rate_per_second, rule.burst});
-    }
-  }
-  for (const auto& [name, rule] : former) {
-    if (!current.contains(name)) {
-      guarantees_[name] = 0;  // The workspace may come back under this name.
+    if (rule == config_.Rules().workspaces.end()) {
+      guarantees_[workspace] = 0;  // The workspace may come back under this name.
+    } else {
+      AdjustGuarantee(workspace, before->second, rule->second, changed);
     }
   }
   return changed;
@@ -138,38 +152,55 @@
 
 region_state::notices region_state::ApplyConfig(const config_fetch_reply& news,
                                                 region_result& outcome) {
-  const std::map<std::string, workspace_rule> former = config_.Rules().workspaces;
+  const rule_set former = config_.Rules();
   const bool is_first = config_.Version() == 0;
+  std::set<std::string> touched;
   notices changed;
   Recover(
       [&]() -> result<void> {
         if (news.snapshot && news.snapshot->version > config_.Version()) {
           BOOST_LEAF_CHECK(config_.Restore(*news.snapshot));
           changes_.clear();
+          for (const auto& [workspace, rule] : former.workspaces) {
+            touched.insert(workspace);
+          }
         }
         for (const config_change& change : news.changes) {
           if (change.version <= config_.Version()) {
             continue;  // Versions only grow.
           }
           BOOST_LEAF_CHECK(config_.Apply(change));
-          for (const digest& each : change.released_requests) {
-            blocks_.erase(each);
-            changed.second.push_back(each);
-          }
-          changes_.push_back(change);
-          if (changes_.size() > kKeptChanges) {
-            changes_.pop_front();
-          }
+          TakeOver(change, touched, changed.second);
         }
         return {};
       },
       [&](const error& failure) { outcome.config_fault = failure.detail; });
   if (!is_first) {
-    changed.first = AdjustGuarantees(former);
+    changed.first = AdjustGuarantees(former, touched);
   }
   return changed;
 }
 
+void region_state::TakeOver(const config_change& change,
+                            std::set<std::string>& touched,
+                            std::vector<digest>& released) {
+  for (const digest& each : change.released_requests) {
+    blocks_.erase(each);
+    released.push_back(each);
+  }
+  for (const auto* lines : {&change.removed_rules, &change.added_rules}) {
+    for (const std::string& line : *lines) {
+      if (const std::optional<std::string> workspace = WorkspaceOf(line)) {
+        touched.insert(*workspace);
+      }
+    }
+  }
+  changes_.push_back(change);
+  if (changes_.size() > kKeptChanges) {
+    changes_.pop_front();
+  }
+}
+
 std::uint64_t region_state::ConfigVersion() const {
   const std::shared_lock guard(lock_);
   return config_.Version();
--- a/src/coordinator/region_state.h
+++ b/src/coordinator/region_state.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <shared_mutex>
 #include <string>
 #include <string_view>
@@ -77,7 +78,15 @@
   void ApplyRecords(const region_command& command, region_result& outcome);
   void ApplyHealth(const region_command& command);
   notices ApplyConfig(const config_fetch_reply& news, region_result& outcome);
-  std::vector<limit_change> AdjustGuarantees(const std::map<std::string, workspace_rule>& former);
+  void TakeOver(const config_change& change,
+                std::set<std::string>& touched,
+                std::vector<digest>& released);
+  std::vector<limit_change> AdjustGuarantees(const rule_set& former,
+                                             const std::set<std::string>& touched);
+  void AdjustGuarantee(const std::string& workspace,
+                       const workspace_rule& before,
+                       const workspace_rule& rule,
+                       std::vector<limit_change>& changed);
   void Expire();
 
   const std::string region_;
