Add the control daemon and the operator's command

Decisions behind it: - The difference of rules is computed by ctl and checked by the state machine, so that an entry of the log and the work for it follow the change and not the whole set. - A key change of a workspace that has moved waits for the former home region too, unless that region has committed the move: until then it still admits the key. Removing a workspace withdraws its keys, which would work again when the workspace is declared again. - ctl sends a change only to a member that has just confirmed with a majority that it leads. Without one, "nothing was sent" is certain; after a lost answer the same change id is sent again. - An empty answer to config.fetch is confirmed with a majority at its end, so that an isolated leader cannot say "nothing newer".

--- a/src/control/configuration.cpp
+++ b/src/control/configuration.cpp
@@ -59,14 +59,16 @@
   return found != keys_.end() && found->second.key_id == key_id ? &found->second : nullptr;
 }
 
-result<void> configuration::Apply(const config_change& change) {
+result<void> configuration::Apply(const config_change& change,
+                                  const std::set<std::string>* known_regions) {
   if (change.version != version_ + 1) {
     return Fail(error_kind::kVersionConflict,
                 "change to version " + std::to_string(change.version) +
                     " does not follow version " + std::to_string(version_));
   }
   if (!change.removed_rules.empty() || !change.added_rules.empty()) {
-    BOOST_LEAF_CHECK(ApplyDifference(rules_, {change.removed_rules, change.added_rules}));
+    BOOST_LEAF_CHECK(
+        ApplyDifference(rules_, {change.removed_rules, change.added_rules}, known_regions));
   }
   for (const key_record& key : change.keys) {
     if (key.is_withdrawn) {
--- a/src/control/configuration.h
+++ b/src/control/configuration.h
@@ -10,6 +10,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -137,8 +138,10 @@
   const key_record* FindKeyById(std::string_view key_id) const;
 
   /// Applies the change that follows the current version. Fails with `kVersionConflict` for another
-  /// version and `kInvalidRules` for lines that do not fit; then nothing has changed.
-  result<void> Apply(const config_change& change);
+  /// version and `kInvalidRules` for lines that do not fit, or that name a region outside
+  /// `known_regions` unless it is null; then nothing has changed.
+  result<void> Apply(const config_change& change,
+                     const std::set<std::string>* known_regions = nullptr);
 
   config_snapshot Snapshot() const;
   /// Replaces everything. Fails with `kVersionConflict` when the snapshot is older than this
--- /dev/null
+++ b/src/control/member_service.h
@@ -0,0 +1,51 @@
+/// `control.member`: operators' changes of a replicated group's membership. Served by control and
+/// by coordinators.
+#pragma once
+
+#include "consensus/replica.h"
+#include "wire/rpc.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace corianderhoist {
+
+enum class member_operation { kList, kAdd, kPromote, kRemove };
+
+struct member_request {
+  member_operation operation = member_operation::kList;
+  std::string name;
+  std::string address;  ///< "IP:PORT" of a member to add.
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.operation);
+    visit(2, self.name);
+    visit(3, self.address);
+  }
+};
+
+/// The group as the answering member sees it after the operation.
+struct member_reply {
+  std::string role;
+  std::string leader;
+  std::vector<std::string> voters;
+  std::vector<std::string> learners;
+  std::uint64_t commit_index = 0;
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.role);
+    visit(2, self.leader);
+    visit(3, self.voters);
+    visit(4, self.learners);
+    visit(5, self.commit_index);
+  }
+};
+
+/// Registers the method for operators. `group` must outlive the calls; call before the server
+/// listens.
+void RegisterMemberService(rpc_server& server, replica& group);
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/control/operator_report.h
@@ -0,0 +1,38 @@
+/// What `corianderhoist-ctl` prints, and its exit codes.
+#pragma once
+
+#include "control/member_service.h"
+#include "control/messages.h"
+#include "control/operator_client.h"
+
+#include <map>
+#include <ostream>
+#include <string>
+#include <string_view>
+
+namespace corianderhoist {
+
+/// Exit codes of `corianderhoist-ctl` (docs/INTERFACE.md).
+enum class ctl_exit {
+  kDone = 0,
+  kRefused = 1,
+  kInvalidInput = 2,
+  kVersionConflict = 3,
+  kPending = 4,
+  kNotAccepted = 5,
+  kOutcomeUnknown = 6,
+};
+
+/// Prints the end of a change to `out`, its cause to `errors`.
+ctl_exit PrintChange(const send_outcome& outcome, std::ostream& out, std::ostream& errors);
+
+void PrintShow(const show_reply& reply, std::ostream& out);
+void PrintMembers(const std::map<std::string, member_reply>& views, std::ostream& out);
+
+/// Prints why a call failed. Exit code `kNotAccepted` when no leader was found or `kRefused`.
+ctl_exit PrintFailure(const rpc_failure& failure, std::ostream& errors);
+
+/// Unix time as ISO 8601 text in UTC.
+std::string FormatTime(std::chrono::milliseconds unix_time);
+
+}  // namespace corianderhoist
