Add the entry VM: routing, callers' front, upstream exchange, pipeline

Cause: callers need a bounded front end that admits every request through the coordinator of its home region and tells the truth about what has run.

The front reads requests with Beast's parser behind own checks of the raw head, the target and the header fields, because the parser alone accepts several forms that upstreams can read in another way. Each worker thread has its own coordinator channels and idle connections, so that a request never changes threads. An idle upstream connection is used again only if the upstream echoed the request id in its last answer, and an answer on it must carry the id of its request; without such an echo a late second answer could be taken for the answer to the next request.

Ruled out: reuse of idle connections for requests that must run once (an idle close at that moment would leave the outcome unknown), answers whose end only the close of the connection shows, HTTP/1.0, encoded letters and path parameters in paths.

A process test with a stand-in for the coordinators serves a GET; the simulated upstream now echoes the request id.

--- /dev/null
+++ b/src/entry/config_follower.h
@@ -0,0 +1,28 @@
+/// Keeps the router's configuration current by a long poll to the coordinators of the own region.
+#pragma once
+
+#include "control/configuration.h"
+#include "entry/coordinator_client.h"
+#include "entry/entry_context.h"
+#include "wire/io_loop.h"
+
+#include <memory>
+
+namespace corianderhoist {
+
+/// Lives on the thread of its loop.
+class config_follower {
+ public:
+  config_follower(io_loop& loop, entry_context& context, coordinator_client& coordinators);
+  ~config_follower();
+  config_follower(const config_follower&) = delete;
+  config_follower& operator=(const config_follower&) = delete;
+
+  void Start();
+
+ private:
+  struct state;
+  std::shared_ptr<state> state_;
+};
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/entry/entry_context.h
@@ -0,0 +1,59 @@
+/// What the requests of an entry VM share.
+#pragma once
+
+#include "entry/coordinator_client.h"
+#include "entry/entry_settings.h"
+#include "entry/lease_registry.h"
+#include "entry/retry_budget.h"
+#include "http/upstream_pool.h"
+#include "routing/router.h"
+#include "wire/io_loop.h"
+#include "wire/tls_identity.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace corianderhoist {
+
+class request_run;
+
+/// State of the process. Thread safe.
+struct entry_context {
+  entry_settings settings;
+  std::string session;  ///< Incarnation of this entry VM.
+  std::shared_ptr<tls_identity> identity;
+  router routes;
+  lease_registry leases;
+  idle_quota idle_connections;
+  retry_budget retries;
+  std::atomic<std::size_t> running = 0;            ///< Requests that are not answered yet.
+  std::atomic<std::size_t> pending_completes = 0;  ///< Outcomes not yet known to a coordinator.
+};
+
+/// State of one thread. Created, used and destroyed on the thread of its loop.
+struct entry_worker {
+  entry_worker(io_loop& own_loop, entry_context& shared)
+      : loop(own_loop), context(shared), pool(shared.idle_connections) {
+    for (const region_members& group : shared.settings.coordinators) {
+      coordinators.emplace(group.region,
+                           std::make_unique<coordinator_client>(own_loop, shared.identity, group));
+    }
+  }
+
+  /// Returns null for a region that the settings do not name.
+  coordinator_client* CoordinatorOf(const std::string& region) {
+    const auto found = coordinators.find(region);
+    return found == coordinators.end() ? nullptr : found->second.get();
+  }
+
+  io_loop& loop;
+  entry_context& context;
+  upstream_pool pool;
+  std::map<std::string, std::unique_ptr<coordinator_client>> coordinators;
+  std::unordered_map<request_run*, std::shared_ptr<request_run>> runs;
+};
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/entry/entry_settings.h
@@ -0,0 +1,49 @@
+/// Settings of an entry VM.
+#pragma once
+
+#include "base/endpoint.h"
+#include "base/error.h"
+#include "http/caller_connection.h"
+#include "settings/settings_reader.h"
+#include "wire/daemon.h"
+
+#include <chrono>
+#include <filesystem>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace corianderhoist {
+
+/// The coordinator group of a region.
+struct region_members {
+  std::string region;
+  std::vector<named_endpoint> members;
+};
+
+/// PEM files of the certificate that callers see.
+struct callers_tls_files {
+  std::filesystem::path certificate;
+  std::filesystem::path private_key;
+};
+
+struct entry_settings {
+  process_settings process;
+  std::string region;
+  std::string data_centre;
+  endpoint callers_listen;
+  std::optional<callers_tls_files> callers_tls;
+  endpoint announcements_listen;
+  std::vector<region_members> coordinators;
+  std::chrono::milliseconds drain_delay{};
+  std::chrono::milliseconds drain_deadline{};
+  caller_limits limits;
+};
+
+/// Reads and checks everything. Fails with `kInvalidSettings` and all faults.
+result<entry_settings> ReadEntrySettings(settings_reader reader);
+
+/// Loads the certificate for callers. Fails with `kInvalidSettings`.
+result<QSslConfiguration> LoadCallersTls(const callers_tls_files& files);
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/entry/request_run.cpp
@@ -0,0 +1,320 @@
+#include "entry/request_run.h"
+
+#include "base/log.h"
+#include "entry/request_parts.h"
+#include "observe/metrics.h"
+
+#include <algorithm>
+
+namespace corianderhoist {
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+// A decision that is older may come from a leader that was frozen and has been replaced.
+constexpr milliseconds kDecisionLifetime(2000);
+// How long an entry VM that misses a configuration change waits before it asks again.
+constexpr milliseconds kConfigPause(30);
+
+// Whether a coordinator's refusal is one that callers know.
+bool IsForCallers(error_kind kind) {
+  return (kind >= error_kind::kBadRequest && kind <= error_kind::kUpstreamShedding) ||
+         kind == error_kind::kOutcomeUnknown || kind == error_kind::kAnswerNotStored;
+}
+
+}  // namespace
+
+request_run::request_run(entry_worker& worker,
+                         http_request request,
+                         std::shared_ptr<answer_sink> sink)
+    : worker_(worker),
+      context_(worker.context),
+      request_(std::move(request)),
+      sink_(std::move(sink)),
+      started_at_(steady_clock::now()) {
+  ++context_.running;
+}
+
+request_run::~request_run() {
+  --context_.running;
+}
+
+void request_run::Start() {
+  context_.retries.OnRequest();
+  sink_->on_left = [this] { OnCallerLeft(); };
+  sink_->on_drained = [this] {
+    if (exchange_) {
+      exchange_->Resume();
+    }
+  };
+  if (TryPrepare()) {
+    StartTimer();
+    Acquire(routed_.home_region, {});
+  }
+}
+
+bool request_run::TryPrepare() {
+  return Recover(
+      [&]() -> result<bool> {
+        BOOST_LEAF_CHECK(Prepare());
+        return true;
+      },
+      [&](const error& failure) {
+        Refuse(failure.kind, failure.detail);
+        return false;
+      });
+}
+
+result<void> request_run::Prepare() {
+  BOOST_LEAF_AUTO(key, KeyOf(request_.headers));
+  if (key) {
+    key_hash_ = Sha256(*key);
+  }
+  BOOST_LEAF_ASSIGN(routed_, context_.routes.Route(request_.method, request_.path, key_hash_));
+  if (routed_.route->run == route_run::kOnce) {
+    BOOST_LEAF_ASSIGN(idempotency_key_, IdempotencyKeyOf(request_.headers));
+  }
+  BOOST_LEAF_AUTO(own_limit, DeadlineOf(request_.headers));
+  const milliseconds timeout = routed_.route->timeout;
+  deadline_ = started_at_ + (own_limit ? std::min(*own_limit, timeout) : timeout);
+  BOOST_LEAF_ASSIGN(upstream_headers_, HeadersForUpstream(request_, key));
+  fingerprint_ = FingerprintOf(routed_.workspace, request_);
+  body_digest_ = BodyDigestOf(request_);
+  return {};
+}
+
+void request_run::StartTimer() {
+  deadline_timer_ = std::make_unique<QTimer>();
+  deadline_timer_->setSingleShot(true);
+  deadline_timer_->setTimerType(Qt::PreciseTimer);
+  QObject::connect(deadline_timer_.get(), &QTimer::timeout, deadline_timer_.get(),
+                   [this] { OnDeadline(); });
+  deadline_timer_->start(std::max(Remaining(), milliseconds(1)));
+}
+
+milliseconds request_run::Remaining() const {
+  return duration_cast<milliseconds>(deadline_ - steady_clock::now());
+}
+
+std::string request_run::AttemptId() const {
+  return request_.id + "/" + std::to_string(attempt_);
+}
+
+acquire_request request_run::MakeAcquire(const std::string& admission) const {
+  acquire_request message;
+  message.request_id = AttemptId();
+  message.entry_vm = context_.settings.process.name;
+  message.session = context_.session;
+  message.workspace = routed_.workspace;
+  message.key_hash = key_hash_.value_or(digest{});
+  message.route_id = routed_.route->Id();
+  message.service = routed_.route->service;
+  message.places = routed_.places;
+  message.config_version = routed_.config_version;
+  message.fingerprint = fingerprint_;
+  message.idempotency_key = idempotency_key_;
+  message.body_digest = body_digest_;
+  message.is_idempotent = routed_.route->run == route_run::kIdempotent;
+  message.remaining = Remaining();
+  message.admission = admission;
+  message.avoid = avoid_;
+  return message;
+}
+
+void request_run::Acquire(const std::string& region, std::string admission) {
+  coordinator_client* coordinator = worker_.CoordinatorOf(region);
+  if (!coordinator) {
+    Refuse(error_kind::kNoPlace, "region " + region + " has no coordinators in the settings");
+    return;
+  }
+  context_.leases.Touch(region);
+  // The caller's leaving or the deadline may end the request while the call is on its way; the
+  // reply is then still needed, to give the slot back.
+  const auto self = shared_from_this();
+  coordinator->Call<acquire_reply>(
+      {"coordinator.acquire",
+       [self, admission = std::move(admission)] { return Encode(self->MakeAcquire(admission)); },
+       kDecisionLifetime, deadline_},
+      [self, region](const rpc_result<acquire_reply>& reply, steady_time sent_at) {
+        self->OnAcquired(region, reply, sent_at);
+      });
+}
+
+void request_run::OnAcquired(const std::string& region,
+                             const rpc_result<acquire_reply>& reply,
+                             steady_time sent_at) {
+  if (const auto* failure = std::get_if<rpc_failure>(&reply)) {
+    OnRefusedByCoordinator(*failure);
+    return;
+  }
+  grant_ = std::get<acquire_reply>(reply);
+  grant_region_ = region;
+  granted_call_sent_at_ = sent_at;
+  if (!grant_.lease.empty()) {
+    context_.leases.Add(region, grant_.lease);
+  }
+  if (has_ended_) {
+    if (!grant_.replay) {
+      Complete(attempt_result::kNotSent, false);
+    }
+    return;
+  }
+  if (grant_.replay) {
+    Replay(*grant_.replay);
+  } else if (steady_clock::now() - sent_at > kDecisionLifetime) {
+    AcquireAgain();
+  } else if (grant_.lease.empty()) {
+    Acquire(grant_.next_region, grant_.admission);
+  } else {
+    Attempt();
+  }
+}
+
+// Gives an outdated decision back and asks again under a new id.
+void request_run::AcquireAgain() {
+  metrics::Instance().Counter("requests.outdated_decisions").Add();
+  Complete(attempt_result::kNotSent, false);
+  ++attempt_;
+  Acquire(routed_.home_region, {});
+}
+
+void request_run::OnRefusedByCoordinator(const rpc_failure& failure) {
+  AbandonRecord();
+  if (has_ended_) {
+    return;
+  }
+  if (failure.kind == error_kind::kConfigBehind && Remaining() > kConfigPause) {
+    QTimer::singleShot(kConfigPause, worker_.loop.Context(), [self = shared_from_this()] {
+      if (!self->has_ended_ && self->TryPrepare()) {
+        ++self->attempt_;
+        self->Acquire(self->routed_.home_region, {});
+      }
+    });
+    return;
+  }
+  const error_kind kind =
+      IsForCallers(failure.kind) ? failure.kind : error_kind::kCoordinatorUnavailable;
+  Refuse(kind, failure.detail);
+}
+
+void request_run::Replay(const stored_answer& stored) {
+  if (!stored.is_complete) {
+    Refuse(error_kind::kAnswerNotStored, "the request has run; its answer was too large to keep");
+    return;
+  }
+  metrics::Instance().Counter("requests.replayed").Add();
+  answer_head head = FromStored(stored);
+  head.headers.push_back({"Corianderhoist-Replayed", "true"});
+  head.headers.push_back({"Corianderhoist-Request-Id", request_.id});
+  SendWhole(*sink_, std::move(head), stored.body);
+  Finish();
+}
+
+void request_run::OnCallerLeft() {
+  has_caller_left_ = true;
+  if (has_ended_) {
+    return;
+  }
+  // An order with a record goes on, so that the caller finds its answer when it sends it again.
+  if (IsOrder() && exchange_) {
+    exchange_->Resume();
+    return;
+  }
+  metrics::Instance().Counter("requests.left_by_caller").Add();
+  if (exchange_) {
+    const bool is_sent = exchange_->IsSent();
+    exchange_->Cancel();
+    Complete(is_sent ? attempt_result::kCancelled : attempt_result::kNotSent, is_sent);
+  }
+  Finish();
+}
+
+void request_run::OnDeadline() {
+  if (has_ended_) {
+    return;
+  }
+  if (!exchange_) {
+    Refuse(error_kind::kQueueTimeout, "no slot before the deadline of the request");
+    return;
+  }
+  const bool is_sent = exchange_->IsSent();
+  exchange_->Cancel();
+  Complete(is_sent ? attempt_result::kTimeout : attempt_result::kConnectFailed, is_sent);
+  if (answer_) {
+    sink_->Abort();
+    Finish();
+  } else if (is_sent) {
+    Refuse(error_kind::kUpstreamTimeout, "no answer before the deadline of the request");
+  } else {
+    Refuse(error_kind::kUpstreamUnreachable, "no connection before the deadline of the request");
+  }
+}
+
+void request_run::Stop() {
+  if (has_ended_) {
+    return;
+  }
+  const bool is_sent = exchange_ && exchange_->IsSent();
+  if (exchange_) {
+    exchange_->Cancel();
+    Complete(is_sent ? attempt_result::kCancelled : attempt_result::kNotSent, is_sent);
+  }
+  if (answer_) {
+    sink_->Abort();
+    Finish();
+  } else if (is_sent) {
+    Refuse(error_kind::kOutcomeUnknown, "the proxy stops while an upstream runs the request");
+  } else {
+    Refuse(error_kind::kShuttingDown, "the proxy stops");
+  }
+}
+
+void request_run::Refuse(error_kind kind,
+                         std::string detail,
+                         std::optional<std::chrono::seconds> retry_after) {
+  if (has_ended_) {
+    return;
+  }
+  refusal why{kind, std::move(detail), retry_after};
+  // An earlier attempt may have run, so "not run" would be false.
+  if (possible_run_ && AnswerFor(kind).outcome == request_outcome::kNotRun) {
+    why = *possible_run_;
+  }
+  const error_answer& answer = AnswerFor(why.kind);
+  metrics::Instance().Counter("requests.refused." + std::string(answer.name)).Add();
+  log_event(log_level::kInfo, "request_refused")
+      .Field("request_id", request_.id)
+      .Field("workspace", routed_.workspace)
+      .Field("error", answer.name)
+      .Field("cause", why.detail)
+      .Field("upstream", grant_.upstream);
+  SendRefusal(*sink_, why, request_.id);
+  Finish();
+}
+
+void request_run::Finish() {
+  if (std::exchange(has_ended_, true)) {
+    return;
+  }
+  static latency_metric& latency = metrics::Instance().Latency("requests.latency");
+  latency.Add(duration_cast<microseconds>(steady_clock::now() - started_at_));
+  if (deadline_timer_) {
+    deadline_timer_->stop();
+  }
+  if (attempt_timer_) {
+    attempt_timer_->stop();
+  }
+  sink_->on_left = nullptr;
+  sink_->on_drained = nullptr;
+  // The end may be reported from inside the exchange or a timer, so destruction waits.
+  worker_.loop.Post([self = shared_from_this()] {
+    self->exchange_.reset();
+    self->sink_.reset();
+    self->worker_.runs.erase(self.get());
+  });
+}
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/entry/request_run.h
@@ -0,0 +1,110 @@
+/// One caller's request on its way: admission, upstream, answer, report to the coordinators.
+#pragma once
+
+#include "base/clock.h"
+#include "coordinator/messages.h"
+#include "entry/entry_context.h"
+#include "http/answer_sink.h"
+#include "http/upstream_exchange.h"
+
+#include <QTimer>
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace corianderhoist {
+
+/// Lives on the thread of its worker, which holds it until the answer has ended.
+class request_run : public std::enable_shared_from_this<request_run> {
+ public:
+  request_run(entry_worker& worker, http_request request, std::shared_ptr<answer_sink> sink);
+  ~request_run();
+  request_run(const request_run&) = delete;
+  request_run& operator=(const request_run&) = delete;
+
+  void Start();
+  /// Ends the request with a truthful refusal, because the process must stop.
+  void Stop();
+
+ private:
+  /// Takes what the configuration says about the request. Repeated when the configuration changes.
+  result<void> Prepare();
+  bool TryPrepare();
+  void StartTimer();
+
+  // Admission
+  void Acquire(const std::string& region, std::string admission);
+  acquire_request MakeAcquire(const std::string& admission) const;
+  void OnAcquired(const std::string& region,
+                  const rpc_result<acquire_reply>& reply,
+                  steady_time sent_at);
+  void OnRefusedByCoordinator(const rpc_failure& failure);
+  void AcquireAgain();
+  void Replay(const stored_answer& stored);
+
+  // Attempt
+  void Attempt();
+  void OnHead(answer_head head);
+  void OnBody(std::string_view part);
+  void OnEnd(const exchange_end& end);
+  void OnFailedAttempt(const exchange_end& end);
+  void OnShed(const answer_head& head);
+  void OnServerError();
+  void OnAttemptTooSlow();
+  void LimitAttempt();
+  bool TryRetry();
+  bool CanRetry() const;
+
+  // Ends
+  void OnCallerLeft();
+  void OnDeadline();
+  void Refuse(error_kind kind,
+              std::string detail,
+              std::optional<std::chrono::seconds> retry_after = {});
+  void Finish();
+
+  // Reports
+  void Complete(attempt_result outcome, bool is_upstream_busy);
+  void AbandonRecord();
+  void SendComplete(const std::string& region, complete_request message);
+  complete_request MakeComplete(attempt_result outcome) const;
+
+  bool IsOrder() const { return !idempotency_key_.empty(); }
+  std::string AttemptId() const;
+  std::chrono::milliseconds Remaining() const;
+
+  entry_worker& worker_;
+  entry_context& context_;
+  http_request request_;
+  std::shared_ptr<answer_sink> sink_;
+  const steady_time started_at_;
+  steady_time deadline_;
+  std::unique_ptr<QTimer> deadline_timer_;
+  std::unique_ptr<QTimer> attempt_timer_;
+
+  std::optional<digest> key_hash_;
+  std::string idempotency_key_;  ///< Empty when no record is kept.
+  routed_request routed_;
+  header_fields upstream_headers_;
+  digest fingerprint_{};
+  digest body_digest_{};
+
+  acquire_reply grant_;
+  std::string grant_region_;
+  steady_time granted_call_sent_at_;
+  steady_time attempt_started_at_;
+  std::shared_ptr<upstream_exchange> exchange_;
+  std::vector<std::string> avoid_;
+  int attempt_ = 1;
+  std::optional<refusal> possible_run_;  ///< Set once an upstream may have run the request.
+  std::optional<answer_head> answer_;    ///< Set once the answer has begun.
+  std::string answer_body_;              ///< Copy for the record of an order.
+  bool is_answer_kept_ = true;
+  bool has_caller_left_ = false;
+  bool has_ended_ = false;
+};
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/entry/retry_budget.h
@@ -0,0 +1,33 @@
+/// Bounds retries to a share of the requests, so that retries cannot multiply an overload.
+#pragma once
+
+#include <algorithm>
+#include <mutex>
+
+namespace corianderhoist {
+
+/// Thread safe. Each request earns a tenth of a retry, up to a small reserve.
+class retry_budget {
+ public:
+  void OnRequest() {
+    const std::lock_guard guard(lock_);
+    tenths_ = std::min(tenths_ + 1, kReserveTenths);
+  }
+  bool TryTake() {
+    const std::lock_guard guard(lock_);
+    if (tenths_ < kTenthsPerRetry) {
+      return false;
+    }
+    tenths_ -= kTenthsPerRetry;
+    return true;
+  }
+
+ private:
+  static constexpr int kTenthsPerRetry = 10;
+  static constexpr int kReserveTenths = 10 * kTenthsPerRetry;
+
+  std::mutex lock_;
+  int tenths_ = kReserveTenths;
+};
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/http/answer_reader.cpp
@@ -0,0 +1,136 @@
+#include "http/answer_reader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include <array>
+
+namespace corianderhoist {
+namespace {
+
+namespace beast_http = boost::beast::http;
+
+constexpr std::size_t kMaxHeadBytes = 64UL << 10U;
+constexpr std::size_t kMaxChunkLineBytes = 4096;
+constexpr std::size_t kBlockBytes = 64UL << 10U;
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
+constexpr int kMaxInterimAnswers = 8;
+constexpr int kSwitchingProtocols = 101;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
+
+auto Broken(std::string text) {
+  return Fail(error_kind::kUpstreamBroken, std::move(text));
+}
+
+}  // namespace
+
+struct answer_reader::parser {
+  beast_http::response_parser<beast_http::buffer_body> beast;
+};
+
+answer_reader::answer_reader(bool is_head_request) : is_head_request_(is_head_request) {}
+
+answer_reader::~answer_reader() = default;
+
+result<bool> answer_reader::Read(std::string& buffer) {
+  has_started_ = has_started_ || !buffer.empty();
+  while (!is_head_complete_) {
+    BOOST_LEAF_AUTO(has_progress, ReadHead(buffer));
+    if (!has_progress) {
+      return false;
+    }
+  }
+  return ReadBody(buffer);
+}
+
+result<bool> answer_reader::ReadHead(std::string& buffer) {
+  const std::size_t end = buffer.find(kHeadEnd);
+  const std::size_t size = end == std::string::npos ? buffer.size() : end + kHeadEnd.size();
+  if (size > kMaxHeadBytes) {
+    return Broken("header of the answer is too large");
+  }
+  if (end == std::string::npos) {
+    return false;
+  }
+  parser_ = std::make_unique<parser>();
+  auto& beast = parser_->beast;
+  beast.header_limit(kMaxHeadBytes);
+  beast.body_limit(boost::none);
+  beast.skip(is_head_request_);
+  boost::system::error_code code;
+  beast.put(boost::asio::buffer(buffer.data(), size), code);
+  if ((code && code != beast_http::error::need_more) || !beast.is_header_done()) {
+    return Broken("answer is not valid: " + code.message());
+  }
+  buffer.erase(0, size);
+  BOOST_LEAF_CHECK(AcceptHead());
+  return true;
+}
+
+result<void> answer_reader::AcceptHead() {
+  auto& beast = parser_->beast;
+  const auto& message = beast.get();
+  const auto status = static_cast<int>(message.result_int());
+  if (status == kSwitchingProtocols || status > kLastStatus) {
+    return Broken("answer has status " + std::to_string(status));
+  }
+  if (status < kFirstFinalStatus) {
+    if (++interim_answers_ > kMaxInterimAnswers) {
+      return Broken("too many interim answers");
+    }
+    return {};
+  }
+  answer_head head;
+  head.status = status;
+  for (const auto& field : message) {
+    head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  }
+  const bool has_length = CountHeaders(head.headers, "Content-Length") > 0;
+  if (CountHeaders(head.headers, "Content-Length") > 1 || (has_length && beast.chunked())) {
+    return Broken("length of the answer is ambiguous");
+  }
+  if (!beast.is_done() && beast.need_eof()) {
+    return Broken("answer has no length");
+  }
+  if (!beast.chunked()) {
+    const auto length = beast.content_length();
+    head.length = length ? std::uint64_t(*length) : 0;
+  }
+  is_keep_alive_ = beast.keep_alive();
+  is_head_complete_ = true;
+  on_head(std::move(head));
+  return {};
+}
+
+result<bool> answer_reader::ReadBody(std::string& buffer) {
+  auto& beast = parser_->beast;
+  std::array<char, kBlockBytes> block;
+  while (!beast.is_done() && !buffer.empty()) {
+    auto& body = beast.get().body();
+    body.data = block.data();
+    body.size = block.size();
+    body.more = true;
+    boost::system::error_code code;
+    const std::size_t used = beast.put(boost::asio::buffer(buffer.data(), buffer.size()), code);
+    buffer.erase(0, used);
+    const std::size_t got = block.size() - body.size;
+    if (got > 0) {
+      on_body(std::string_view(block.data(), got));
+    }
+    const bool is_block_full = code == beast_http::error::need_buffer;
+    if (code && code != beast_http::error::need_more && !is_block_full) {
+      return Broken("body of the answer is not valid: " + code.message());
+    }
+    if (used == 0 && got == 0) {
+      break;
+    }
+  }
+  if (!beast.is_done() && buffer.size() > kMaxChunkLineBytes) {
+    return Broken("chunk line of the answer is too long");
+  }
+  return beast.is_done();
+}
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/http/caller_connection.h
@@ -0,0 +1,95 @@
+/// One connection of a caller: reads requests one at a time and writes their answers.
+#pragma once
+
+#include "base/clock.h"
+#include "http/answer_sink.h"
+#include "http/request_reader.h"
+#include "wire/io_loop.h"
+
+#include <QSslConfiguration>
+#include <QTcpSocket>
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace corianderhoist {
+
+/// Bounds on time and on the number of connections.
+struct caller_limits {
+  request_limits request;
+  std::size_t connections = 10'000;
+  std::chrono::milliseconds header_timeout{10'000};  ///< From the first byte to the whole header.
+  std::chrono::milliseconds body_timeout{30'000};    ///< From the header to the whole body.
+};
+
+/// What a connection shares with its server.
+struct caller_context {
+  caller_limits limits;
+  std::optional<QSslConfiguration> tls;
+  std::atomic<bool> is_closing = false;  ///< Answers ask callers to connect elsewhere.
+  std::atomic<std::size_t> connections = 0;
+  /// Checks a header before the body is read; may be empty.
+  std::function<result<void>(const http_request&)> on_head;
+};
+
+/// Lives on the thread of its loop.
+class caller_connection : public std::enable_shared_from_this<caller_connection> {
+ public:
+  using request_handler = std::function<void(http_request, std::shared_ptr<answer_sink>)>;
+
+  caller_connection(io_loop& loop,
+                    caller_context& context,
+                    request_handler on_request,
+                    std::function<void(caller_connection*)> on_end);
+  ~caller_connection();
+  caller_connection(const caller_connection&) = delete;
+  caller_connection& operator=(const caller_connection&) = delete;
+
+  /// Takes over an accepted descriptor. `is_over_limit`: only a refusal is sent.
+  void Start(qintptr descriptor, bool is_over_limit);
+  /// Ends the connection if its current phase has taken too long.
+  void CheckTime(steady_time now);
+  /// Closes the connection unless a request has been started or is being answered.
+  void CloseIfIdle();
+  /// Resets the connection.
+  void Abort();
+  bool IsIdle() const;
+
+ private:
+  class sink;
+  enum class phase { kIdle, kHead, kBody, kAnswering, kLingering, kEnded };
+
+  void OnReadable();
+  void ReadRequest();
+  void Dispatch();
+  void Refuse(const error& failure);
+  void Write(std::string_view bytes);
+  void FinishAnswer();
+  void Linger();
+  void End();
+  void Enter(phase next, std::chrono::milliseconds longest);
+  bool ShouldClose() const { return is_last_answer_ || context_.is_closing; }
+
+  io_loop& loop_;
+  caller_context& context_;
+  request_handler on_request_;
+  std::function<void(caller_connection*)> on_end_;
+  std::unique_ptr<QTcpSocket> socket_;
+  std::unique_ptr<request_reader> reader_;
+  std::shared_ptr<sink> answer_;
+  std::string incoming_;
+  std::string request_id_;
+  phase phase_ = phase::kIdle;
+  steady_time phase_end_;
+  steady_time last_progress_;
+  std::size_t lingered_bytes_ = 0;
+  bool is_head_method_ = false;
+  bool is_last_answer_ = false;
+  bool is_reading_ = false;
+};
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/http/caller_server.cpp
@@ -0,0 +1,162 @@
+#include "http/caller_server.h"
+
+#include <QHostAddress>
+#include <QTcpServer>
+#include <QTimer>
+
+#include <cassert>
+#include <unordered_map>
+
+namespace corianderhoist {
+namespace {
+
+// Granularity of the time limits of connections.
+constexpr std::chrono::milliseconds kSweepInterval(100);
+constexpr int kBacklog = 1024;
+
+// Hands raw descriptors to the caller, so that each socket is created on its own thread.
+class descriptor_server final : public QTcpServer {
+ public:
+  std::function<void(qintptr)> on_descriptor;
+
+ protected:
+  void incomingConnection(qintptr descriptor) override { on_descriptor(descriptor); }
+};
+
+struct worker {
+  io_loop* loop = nullptr;
+  std::unordered_map<caller_connection*, std::shared_ptr<caller_connection>> connections;
+  std::unique_ptr<QTimer> sweep;
+
+  // Callbacks may erase connections, so a copy is visited.
+  template <class Visitor>
+  void ForEach(Visitor&& visit) {
+    std::vector<std::shared_ptr<caller_connection>> all;
+    all.reserve(connections.size());
+    for (const auto& [key, connection] : connections) {
+      all.push_back(connection);
+    }
+    for (const auto& connection : all) {
+      visit(*connection);
+    }
+  }
+
+  void StartSweep() {
+    sweep = std::make_unique<QTimer>();
+    QObject::connect(sweep.get(), &QTimer::timeout, sweep.get(), [this] {
+      const auto now = std::chrono::steady_clock::now();
+      ForEach([now](caller_connection& connection) { connection.CheckTime(now); });
+    });
+    sweep->start(kSweepInterval);
+  }
+};
+
+}  // namespace
+
+struct caller_server::state {
+  caller_context context;
+  handler on_request;
+  std::vector<std::unique_ptr<worker>> workers;
+  std::unique_ptr<io_loop> accept_loop;
+  std::unique_ptr<descriptor_server> listener;
+  std::size_t next_worker = 0;
+
+  void Accept(qintptr descriptor) {
+    const std::size_t index = next_worker++ % workers.size();
+    worker& chosen = *workers[index];
+    chosen.loop->Post([this, &chosen, index, descriptor] {
+      const bool is_over_limit = context.connections >= context.limits.connections;
+      auto connection = std::make_shared<caller_connection>(
+          *chosen.loop, context,
+          [this, index](http_request request, std::shared_ptr<answer_sink> sink) {
+            on_request(index, std::move(request), std::move(sink));
+          },
+          [&chosen](caller_connection* ended) { chosen.connections.erase(ended); });
+      chosen.connections.emplace(connection.get(), connection);
+      connection->Start(descriptor, is_over_limit);
+    });
+  }
+};
+
+caller_server::caller_server(std::vector<io_loop*> loops,
+                             caller_limits limits,
+                             std::optional<QSslConfiguration> tls,
+                             handler on_request)
+    : state_(std::make_unique<state>()) {
+  state_->context.limits = limits;
+  state_->context.tls = std::move(tls);
+  state_->on_request = std::move(on_request);
+  for (io_loop* loop : loops) {
+    state_->workers.push_back(std::make_unique<worker>());
+    worker* added = state_->workers.back().get();
+    added->loop = loop;
+    loop->RunAndWait([added] { added->StartSweep(); });
+  }
+}
+
+caller_server::~caller_server() {
+  if (state_->accept_loop) {
+    state_->accept_loop->RunAndWait([this] { state_->listener.reset(); });
+    state_->accept_loop.reset();
+  }
+  for (const auto& each : state_->workers) {
+    // Two turns: tasks posted by ending connections refer to the worker.
+    each->loop->RunAndWait([&each] {
+      each->sweep.reset();
+      each->ForEach([](caller_connection& connection) { connection.Abort(); });
+    });
+    each->loop->RunAndWait([&each] { each->connections.clear(); });
+  }
+}
+
+void caller_server::SetHeadCheck(std::function<result<void>(const http_request&)> check) {
+  assert(!state_->listener && "the check must be set before listening");
+  state_->context.on_head = std::move(check);
+}
+
+result<std::uint16_t> caller_server::Listen(const endpoint& address) {
+  state_->accept_loop = std::make_unique<io_loop>("accept");
+  std::uint16_t port = 0;
+  std::string cause;
+  state_->accept_loop->RunAndWait([&] {
+    state_->listener = std::make_unique<descriptor_server>();
+    state_->listener->setListenBacklogSize(kBacklog);
+    state_->listener->on_descriptor = [this](qintptr descriptor) { state_->Accept(descriptor); };
+    if (state_->listener->listen(QHostAddress(QString::fromStdString(address.ip)), address.port)) {
+      port = state_->listener->serverPort();
+    } else {
+      cause = state_->listener->errorString().toStdString();
+    }
+  });
+  if (port == 0) {
+    return Fail(error_kind::kUnreachable,
+                "cannot listen on " + FormatEndpoint(address) + ": " + cause);
+  }
+  return port;
+}
+
+void caller_server::AskCallersToLeave() {
+  state_->context.is_closing = true;
+}
+
+void caller_server::StopAccepting() {
+  if (state_->accept_loop) {
+    state_->accept_loop->RunAndWait([this] { state_->listener.reset(); });
+  }
+  for (const auto& each : state_->workers) {
+    each->loop->RunAndWait(
+        [&each] { each->ForEach([](caller_connection& c) { c.CloseIfIdle(); }); });
+  }
+}
+
+void caller_server::AbortAll() {
+  for (const auto& each : state_->workers) {
+    each->loop->RunAndWait([&each] { each->ForEach([](caller_connection& c) { c.Abort(); }); });
+  }
+}
+
+std::size_t caller_server::ConnectionCount() const {
+  return state_->context.connections;
+}
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/http/caller_server.h
@@ -0,0 +1,45 @@
+/// Accepts callers' connections and spreads them over threads.
+#pragma once
+
+#include "base/endpoint.h"
+#include "http/caller_connection.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace corianderhoist {
+
+/// Thread safe. The loops must outlive the server.
+class caller_server {
+ public:
+  /// Called on the thread of `loops[index]`, one request at a time per connection.
+  using handler =
+      std::function<void(std::size_t index, http_request, std::shared_ptr<answer_sink>)>;
+
+  caller_server(std::vector<io_loop*> loops,
+                caller_limits limits,
+                std::optional<QSslConfiguration> tls,
+                handler on_request);
+  ~caller_server();
+
+  /// Checks headers before bodies are read. Must be called before `Listen`.
+  void SetHeadCheck(std::function<result<void>(const http_request&)> check);
+  /// Opens the port and returns it. Fails with `kUnreachable`.
+  result<std::uint16_t> Listen(const endpoint& address);
+  /// Answers carry `Connection: close` from now on.
+  void AskCallersToLeave();
+  /// Closes the port and the connections without a request.
+  void StopAccepting();
+  /// Resets all connections.
+  void AbortAll();
+  std::size_t ConnectionCount() const;
+
+ private:
+  struct state;
+  std::unique_ptr<state> state_;
+};
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/http/upstream_exchange.h
@@ -0,0 +1,88 @@
+/// One request to an upstream and its answer.
+#pragma once
+
+#include "coordinator/messages.h"
+#include "http/answer_reader.h"
+#include "http/message.h"
+#include "http/upstream_pool.h"
+
+#include <QTimer>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace corianderhoist {
+
+/// How an exchange ended. With `kNotSent` and `kConnectFailed` the upstream received no byte.
+struct exchange_end {
+  attempt_result result = attempt_result::kNotSent;
+  std::string detail;
+};
+
+/// What is sent and to whom.
+struct exchange_request {
+  upstream_address upstream;
+  const http_request* request = nullptr;  ///< Must stay valid until the end of the exchange.
+  header_fields headers;                  ///< Sent in place of those of the request.
+  std::chrono::milliseconds connect_timeout{};
+  bool may_reuse = false;              ///< Whether an idle connection may be used.
+  std::uint32_t idle_connections = 0;  ///< Idle connections that may be kept.
+};
+
+/// Lives on the thread of its pool. An idle connection is used again only when the upstream echoed
+/// `Corianderhoist-Request-Id` in its last answer; on such a connection an answer with another id
+/// is refused. Thus a late or repeated answer cannot be taken for the answer to another request.
+class upstream_exchange : public std::enable_shared_from_this<upstream_exchange> {
+ public:
+  struct events {
+    std::function<void(answer_head)> on_head;
+    std::function<void(std::string_view)> on_body;
+    std::function<void(const exchange_end&)> on_end;  ///< Called once, unless cancelled.
+  };
+
+  upstream_exchange(upstream_pool& pool, exchange_request request, events handlers);
+  ~upstream_exchange();
+  upstream_exchange(const upstream_exchange&) = delete;
+  upstream_exchange& operator=(const upstream_exchange&) = delete;
+
+  void Start();
+  /// Closes the connection; no event follows.
+  void Cancel();
+  /// Stops and resumes reading of the answer, for callers that take it slowly.
+  void Pause() { is_paused_ = true; }
+  void Resume();
+
+  bool IsSent() const { return is_sent_; }
+  bool HasStartedAnswer() const { return reader_.HasStarted(); }
+
+ private:
+  void Watch();
+  void Send();
+  void OnReadable();
+  void OnHead(answer_head head);
+  void OnClosed(const std::string& cause);
+  void Finish(attempt_result result, std::string detail);
+  void Release(bool is_reusable);
+
+  upstream_pool& pool_;
+  exchange_request request_;
+  events events_;
+  answer_reader reader_;
+  std::unique_ptr<QTcpSocket> socket_;
+  std::unique_ptr<QTimer> connect_timer_;
+  std::string incoming_;
+  std::string failure_;
+  attempt_result result_ = attempt_result::kSuccess;
+  bool is_reused_ = false;
+  bool is_sent_ = false;
+  bool is_paused_ = false;
+  bool has_closed_ = false;
+  bool has_ended_ = false;
+  bool is_id_echoed_ = false;
+};
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/http/upstream_pool.cpp
@@ -0,0 +1,109 @@
+#include "http/upstream_pool.h"
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+
+namespace corianderhoist {
+namespace {
+
+// Upstreams close idle connections after some seconds. A request that meets such a close cannot
+// tell it from a crash, so connections are reused only shortly after their last answer.
+constexpr std::chrono::milliseconds kMaxIdle(1000);
+
+bool IsUsable(const QTcpSocket& socket) {
+  return socket.state() == QAbstractSocket::ConnectedState && socket.bytesAvailable() == 0;
+}
+
+}  // namespace
+
+bool idle_quota::TryTake(const upstream_address& upstream, std::uint32_t limit) {
+  const std::lock_guard guard(lock_);
+  std::uint32_t& taken = taken_[upstream];
+  if (taken >= limit) {
+    if (taken == 0) {
+      taken_.erase(upstream);
+    }
+    return false;
+  }
+  ++taken;
+  return true;
+}
+
+void idle_quota::GiveBack(const upstream_address& upstream) {
+  const std::lock_guard guard(lock_);
+  const auto found = taken_.find(upstream);
+  if (found != taken_.end() && --found->second == 0) {
+    taken_.erase(found);
+  }
+}
+
+std::size_t idle_quota::Total() const {
+  const std::lock_guard guard(lock_);
+  std::size_t total = 0;
+  for (const auto& [upstream, count] : taken_) {
+    total += count;
+  }
+  return total;
+}
+
+upstream_pool::~upstream_pool() {
+  for (auto& [upstream, connections] : idle_) {
+    for (idle_connection& each : connections) {
+      Discard(upstream, std::move(each.socket));
+    }
+  }
+}
+
+std::unique_ptr<QTcpSocket> upstream_pool::Take(const upstream_address& upstream) {
+  const auto found = idle_.find(upstream);
+  if (found == idle_.end()) {
+    return nullptr;
+  }
+  const auto oldest = std::chrono::steady_clock::now() - kMaxIdle;
+  std::vector<idle_connection>& connections = found->second;
+  while (!connections.empty()) {
+    idle_connection last = std::move(connections.back());
+    connections.pop_back();
+    if (last.since >= oldest && IsUsable(*last.socket)) {
+      quota_.GiveBack(upstream);
+      return std::move(last.socket);
+    }
+    Discard(upstream, std::move(last.socket));
+  }
+  idle_.erase(found);
+  return nullptr;
+}
+
+void upstream_pool::Put(const upstream_address& upstream,
+                        std::unique_ptr<QTcpSocket> socket,
+                        std::uint32_t limit) {
+  if (!IsUsable(*socket) || !quota_.TryTake(upstream, limit)) {
+    socket.release()->deleteLater();
+    return;
+  }
+  idle_[upstream].push_back({std::move(socket), std::chrono::steady_clock::now()});
+}
+
+void upstream_pool::Sweep() {
+  const auto oldest = std::chrono::steady_clock::now() - kMaxIdle;
+  for (auto entry = idle_.begin(); entry != idle_.end();) {
+    auto& [upstream, connections] = *entry;
+    auto kept = std::stable_partition(connections.begin(), connections.end(),
+                                      [oldest](const idle_connection& each) {
+                                        return each.since >= oldest && IsUsable(*each.socket);
+                                      });
+    for (auto each = kept; each != connections.end(); ++each) {
+      Discard(upstream, std::move(each->socket));
+    }
+    connections.erase(kept, connections.end());
+    entry = connections.empty() ? idle_.erase(entry) : std::next(entry);
+  }
+}
+
+void upstream_pool::Discard(const upstream_address& upstream, std::unique_ptr<QTcpSocket> socket) {
+  quota_.GiveBack(upstream);
+  socket->abort();
+}
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/routing/route_table.h
@@ -0,0 +1,31 @@
+/// Lookup of the route of a request by method and path.
+#pragma once
+
+#include "rules/rule_set.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace corianderhoist {
+
+/// Immutable. The longest prefix of whole segments decides; a method that no route with this prefix
+/// lists has no route, so that an open route of a shorter prefix cannot serve a path that a longer
+/// one protects.
+class route_table {
+ public:
+  route_table() = default;
+  explicit route_table(const rule_set& rules);
+
+  /// Returns null when no route applies. `path` is without query and begins with '/'.
+  std::shared_ptr<const route_rule> Find(std::string_view method, std::string_view path) const;
+  std::size_t Size() const { return size_; }
+
+ private:
+  std::unordered_map<std::string, std::vector<std::shared_ptr<const route_rule>>> by_prefix_;
+  std::size_t size_ = 0;
+};
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/tests/support/fake_region.h
@@ -0,0 +1,64 @@
+/// A stand-in for the coordinators of one region that decides without queues, rates or records, for
+/// tests of entry VMs alone.
+#pragma once
+
+#include "control/configuration.h"
+#include "coordinator/messages.h"
+#include "support/test_fleet_keys.h"
+#include "wire/rpc.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace corianderhoist {
+
+/// Serves as a single coordinator. The members are thread safe.
+class fake_region {
+ public:
+  /// Replaces the decision on `coordinator.acquire` when it returns true.
+  using decision = std::function<bool(const acquire_request&, const rpc_callback<acquire_reply>&)>;
+
+  fake_region(test_fleet_keys& keys, std::string region);
+
+  const std::string& Name() const { return name_; }
+  std::uint16_t Port() const { return port_; }
+
+  void SetRules(const std::string& rules);
+  void SetKey(const std::string& key, const std::string& workspace, bool is_withdrawn = false);
+  void SetDecision(decision decide);
+  /// Grants this upstream in place of announced ones.
+  void SetUpstream(announcement upstream);
+
+  std::vector<complete_request> Completes() const;
+  std::vector<acquire_request> Acquires() const;
+  std::vector<session_request> Sessions() const;
+  std::vector<announcement> Announcements() const;
+
+ private:
+  using fetch = std::pair<std::uint64_t, rpc_callback<config_fetch_reply>>;
+
+  void OnAcquire(const acquire_request& request, const rpc_callback<acquire_reply>& reply);
+  void OnFetch(const config_fetch_request& request, const rpc_callback<config_fetch_reply>& reply);
+  void PublishLocked();
+
+  const std::string name_;
+  mutable std::mutex lock_;
+  config_snapshot snapshot_;
+  std::vector<fetch> waiting_;
+  std::map<std::string, announcement> upstreams_;
+  decision decide_;
+  std::vector<complete_request> completes_;
+  std::vector<acquire_request> acquires_;
+  std::vector<session_request> sessions_;
+  std::vector<announcement> announcements_;
+  std::uint64_t next_lease_ = 1;
+  std::uint16_t port_ = 0;
+  rpc_server server_;  // Last: its threads use the members above.
+};
+
+}  // namespace corianderhoist
--- a/tests/support/upstream.cpp
+++ b/tests/support/upstream.cpp
@@ -65,6 +65,12 @@
   return object;
 }
 
+// Entry VMs keep a connection only when its last answer shows to which request it belongs.
+std::string EchoedId(const upstream_request& request) {
+  const std::string id = Value(request, "Corianderhoist-Request-Id");
+  return id.empty() ? std::string() : "Corianderhoist-Request-Id: " + id + "\r\n";
+}
+
 std::int64_t UnixNowMs() {
   return std::chrono::duration_cast<milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -81,7 +87,8 @@
       "HTTP/1.1 " + std::to_string(status) + ' ' +
       std::string(http::obsolete_reason(static_cast<http::status>(status))) +
       "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
-      "\r\n" + extra_header + (request.keep_alive() ? "" : "Connection: close\r\n") + "\r\n";
+      "\r\n" + EchoedId(request) + extra_header +
+      (request.keep_alive() ? "" : "Connection: close\r\n") + "\r\n";
   return request.method() == http::verb::head ? text : text + body;
 }
 
