--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -35,7 +35,7 @@
   if (!routed.route) {
     return Fail(error_kind::kNoRoute, "no route serves this method and path");
   }
-  const std::vector<place>* places = &routed.route->places;
+  const auto* places = &routed.route->places;
   if (routed.route->access == route_access::kKeyed) {
     if (!key_hash) {
       return Fail(error_kind::kKeyMissing, "the request carries no workspace key");
