--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -52,6 +52,7 @@
   for (const std::string& name : Names()) {
     WriteSettings(name);
   }
+  WriteOperatorSettings();
   for (const std::string& region : plan_.regions) {
     for (const std::string& service : plan_.services) {
       for (int i = 1; i <= plan_.upstreams; ++i) {
@@ -91,7 +92,8 @@
                                "--region=" + region,
                                "--data_centre=" + region + '-' + std::to_string(1 + number % 2),
                                "--announce=" + announce, "--slots=" + std::to_string(plan_.slots),
-                               "--service_ms=" + std::to_string(plan_.service_ms)},
+                               "--service_ms=" + std::to_string(plan_.service_ms),
+                               "--drain_grace_ms=" + std::to_string(plan_.drain_grace_ms)},
       Folder() / (added->name + ".log"));
   members_.emplace(added->name, std::move(added));
 }
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -10,8 +10,10 @@
 #include "support/test_fleet_keys.h"
 #include "wire/io_loop.h"
 
+#include <QJsonArray>
 #include <QJsonObject>
 
+#include <cstdint>
 #include <filesystem>
 #include <functional>
 #include <map>
@@ -31,6 +33,7 @@
   int upstreams = 2;  ///< Per service and region.
   int slots = 4;      ///< Per upstream.
   int service_ms = 5;
+  int drain_grace_ms = 3000;  ///< Upstreams serve on for this long after they announce their end.
   std::string drain_delay = "3s";
   /// Whether a fault proxy stands between two processes, by their names.
   std::function<bool(const std::string& from, const std::string& to)> is_proxied;
@@ -76,6 +79,8 @@
 
   /// Runs corianderhoist-ctl with the fleet's addresses and an operator's certificate.
   program_output Ctl(const std::vector<std::string>& arguments);
+  /// Runs a change until it is in force or refused; a change without outcome keeps its id.
+  program_output Change(const std::vector<std::string>& arguments);
   /// Applies a rules file on the version in force and waits until it is accepted.
   void ApplyRules(const std::string& rules);
   /// A key as `ctl key give` prints it.
@@ -85,16 +90,16 @@
   };
   workspace_key GiveKey(const std::string& workspace);
   program_output WithdrawKey(const std::string& key_id);
+  std::uint64_t RulesVersion();
 
   /// A JSON document of a status endpoint or upstream, empty when there is no answer.
   static QJsonObject Get(const endpoint& address, const std::string& target);
   /// Tells an upstream which faults to show; throws when it refuses.
   void TellUpstream(const std::string& upstream, const std::string& faults);
+  /// Name of the coordinator that leads a region; waits until there is one.
+  std::string LeaderOf(const std::string& region);
   /// Sum over all upstreams of the executions of an order.
   int Executions(const std::string& order);
-  /// Name of the coordinator that leads a region, empty when none does.
-  std::string LeaderOf(const std::string& region);
-
   const std::filesystem::path& Folder() const { return keys_.Folder(); }
   const fleet_plan& Plan() const { return plan_; }
 
@@ -108,7 +113,7 @@
   QJsonArray Members(const std::string& from, const std::string& prefix);
   endpoint AddressFor(const std::string& from, const std::string& to);
   std::filesystem::path LargestFile(const std::string& name) const;
-  std::vector<std::string> CtlFlags();
+  void WriteOperatorSettings();
 
   fleet_plan plan_;
   test_fleet_keys keys_;
--- a/tests/support/upstream.cpp
+++ b/tests/support/upstream.cpp
@@ -143,9 +143,7 @@
 }
 
 void simulated_upstream::FinishDrain() {
-  // The design gives the fleet 3 s to stop sending work; until then late work is still served.
-  constexpr milliseconds kGrace{3000};
-  QTimer::singleShot(kGrace, &server_, [this] {
+  QTimer::singleShot(settings_.drain_grace, &server_, [this] {
     auto* check = new QTimer(&server_);
     QObject::connect(check, &QTimer::timeout, check, [this] {
       if (running_ == 0) {
--- a/tests/support/upstream.h
+++ b/tests/support/upstream.h
@@ -40,6 +40,9 @@
   std::chrono::milliseconds announce_every{1000};
   std::chrono::milliseconds service_time{5};
   std::chrono::milliseconds cold_start{0};  ///< Announced as `starting` for this long.
+  /// The design gives the fleet 3 s to stop sending work to an upstream that leaves; until then it
+  /// still serves.
+  std::chrono::milliseconds drain_grace{3000};
   std::uint32_t seed = 1;
 };
 
--- a/tests/support/upstream_main.cpp
+++ b/tests/support/upstream_main.cpp
@@ -21,6 +21,7 @@
 DEFINE_int32(slots, 4, "requests that it runs at a time");
 DEFINE_int32(service_ms, 5, "time that a request takes in ms");
 DEFINE_int32(cold_start_ms, 0, "time for which it announces `starting` in ms");
+DEFINE_int32(drain_grace_ms, 3000, "time for which it serves on after SIGTERM in ms");
 DEFINE_int32(seed, 1, "seed of the random choices of its faults");
 
 namespace corianderhoist {
@@ -44,6 +45,7 @@
   settings.announce_every = std::chrono::milliseconds(FLAGS_announce_ms);
   settings.service_time = std::chrono::milliseconds(FLAGS_service_ms);
   settings.cold_start = std::chrono::milliseconds(FLAGS_cold_start_ms);
+  settings.drain_grace = std::chrono::milliseconds(FLAGS_drain_grace_ms);
   settings.seed = static_cast<std::uint32_t>(FLAGS_seed);
   for (const QString& each :
        QString::fromStdString(FLAGS_announce).split(',', Qt::SkipEmptyParts)) {
