--- /dev/null
+++ b/tests/fuzz/request_fuzz.cpp
@@ -0,0 +1,10 @@
+// libFuzzer target: bytes from a caller.
+#include "support/fuzz_checks.h"
+
+#include <cstddef>
+#include <cstdint>
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  corianderhoist::CheckRequestBytes({reinterpret_cast<const char*>(data), size});
+  return 0;
+}
