Let a resent order wait for the outcome of the first

Cause: an entry VM answers the caller before the outcome of the order is committed, so a resend right after the answer met the record in state begun and got 409 still_running. Ruled out: committing the outcome before the answer, which adds a sync and a round trip to each order. The coordinator now looks at the record again for up to 500 ms before it answers that the first request is still running.

--- a/src/coordinator/coordinator_acquire.cpp
+++ b/src/coordinator/coordinator_acquire.cpp
@@ -13,6 +13,10 @@
 
 constexpr milliseconds kLongestTokenWait(50);
 constexpr milliseconds kSuspectRetry(10);
+// A caller that has its answer may send the order again before the outcome is committed, so a
+// resend waits this long for the outcome before it learns that the first request is still running.
+constexpr milliseconds kLongestResendWait(500);
+constexpr milliseconds kResendRetry(10);
 constexpr char kSeparator = '\x1e';
 
 std::string FormatAdmission(const std::string& region,
@@ -179,6 +183,11 @@
   if (IsOrder(request, subject->is_keyed)) {
     const begin_result met = state_.CheckRecord(
         {request.workspace, request.idempotency_key, request.body_digest, request.request_id, {}});
+    if (met.verdict == record_verdict::kStillRunning &&
+        now < std::min(subject->started + kLongestResendWait, subject->deadline)) {
+      after_(kResendRetry, [self = shared_from_this(), subject] { self->CheckHome(subject); });
+      return;
+    }
     if (met.verdict != record_verdict::kBegin) {
       rpc_result<acquire_reply> reply = ReplyFor(met);
       if (auto* failure = std::get_if<rpc_failure>(&reply)) {
