Serve membership changes and wait for record ends in the coordinator

An entry VM tries the next upstream before the end of its former attempt is committed, and was told that the first request still runs; acquire now waits for ends that are on their way. Grants that lapse free their room only from their expiry on: accruing over the expiry in one step admitted more than the bound in a short window (found by review of the grant test).

--- a/src/coordinator/coordinator_acquire.cpp
+++ b/src/coordinator/coordinator_acquire.cpp
@@ -13,6 +13,7 @@
 
 constexpr milliseconds kLongestTokenWait(50);
 constexpr milliseconds kSuspectRetry(10);
+constexpr milliseconds kEndingRetry(2);
 constexpr char kSeparator = '\x1e';
 
 std::string FormatAdmission(const std::string& region,
@@ -179,6 +180,13 @@
   if (IsOrder(request, subject->is_keyed)) {
     const begin_result met = state_.CheckRecord(
         {request.workspace, request.idempotency_key, request.body_digest, request.request_id, {}});
+    // An entry VM tries the next upstream before the end of its former attempt is committed.
+    if (met.verdict == record_verdict::kStillRunning &&
+        IsEnding(request.workspace, request.idempotency_key) &&
+        now + kEndingRetry < subject->deadline) {
+      after_(kEndingRetry, [self = shared_from_this(), subject] { self->CheckHome(subject); });
+      return;
+    }
     if (met.verdict != record_verdict::kBegin) {
       rpc_result<acquire_reply> reply = ReplyFor(met);
       if (auto* failure = std::get_if<rpc_failure>(&reply)) {
--- a/src/coordinator/coordinator_complete.cpp
+++ b/src/coordinator/coordinator_complete.cpp
@@ -14,6 +14,10 @@
          outcome == attempt_result::kShed;
 }
 
+std::string EndingName(const std::string& workspace, const std::string& key) {
+  return workspace + '\n' + key;
+}
+
 bool IsWholeAnswer(attempt_result outcome) {
   return outcome == attempt_result::kSuccess || outcome == attempt_result::kServerError;
 }
@@ -112,7 +116,21 @@
     end.answer->body.clear();
     end.answer->is_complete = false;
   }
-  writer_->End(std::move(end), std::move(reply));
+  const std::string name = EndingName(report.workspace, report.idempotency_key);
+  endings_.With(name, [&](std::multiset<std::string>& endings) { endings.insert(name); });
+  writer_->End(std::move(end), [self = shared_from_this(), name, reply = std::move(reply)](
+                                   rpc_result<empty_message> committed) {
+    self->endings_.With(name, [&](std::multiset<std::string>& endings) {
+      endings.erase(endings.find(name));
+    });
+    reply(std::move(committed));
+  });
+}
+
+bool coordinator_core::IsEnding(const std::string& workspace, const std::string& key) {
+  const std::string name = EndingName(workspace, key);
+  return endings_.With(
+      name, [&](const std::multiset<std::string>& endings) { return endings.contains(name); });
 }
 
 }  // namespace corianderhoist
--- a/src/coordinator/coordinator_core.h
+++ b/src/coordinator/coordinator_core.h
@@ -21,6 +21,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -119,6 +120,8 @@
                  const std::string& attempt,
                  rpc_callback<empty_message> reply);
 
+  bool IsEnding(const std::string& workspace, const std::string& key);
+
   // Tokens.
   void Refund(const std::string& workspace);
   void ProposeGuarantees(std::vector<guarantee_change> changes);
@@ -152,6 +155,7 @@
   sharded<crash_registry> crashes_;
   sharded<session_table> sessions_;
   sharded<admission_book> admissions_;
+  sharded<std::multiset<std::string>> endings_;  // Records whose end is being committed.
 };
 
 template <class Function>
--- a/src/coordinator/coordinator_service.cpp
+++ b/src/coordinator/coordinator_service.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "consensus/replica.h"
+#include "control/member_service.h"
 #include "coordinator/config_follower.h"
 #include "coordinator/config_publisher.h"
 #include "coordinator/coordinator_core.h"
@@ -187,6 +188,7 @@
                                         self.clock));
   self.member = std::move(member);
   self.log.Attach(self.member.get());
+  RegisterMemberService(*self.server, *self.member);
   self.RegisterMethods();
   ports opened;
   BOOST_LEAF_ASSIGN(opened.rpc, self.server->Listen(self.settings.process.listen));
--- a/src/coordinator/rate_ledger.cpp
+++ b/src/coordinator/rate_ledger.cpp
@@ -42,22 +42,31 @@
       accrued_at_(now),
       committed_(std::min(guarantee, limit_.burst)) {}
 
+// Grants lapse in the order of their expiry. A lapsed grant may have been used at its last moment,
+// so the room that it occupied begins to fill only then.
 void rate_bucket::Accrue(steady_time now) {
-  const auto elapsed = nanoseconds(now - accrued_at_).count();
+  while (!grants_.empty()) {
+    const auto next = std::min_element(
+        grants_.begin(), grants_.end(),
+        [](const grant& left, const grant& right) { return left.expiry < right.expiry; });
+    if (next->expiry > now) {
+      break;
+    }
+    AccrueUntil(next->expiry);
+    outstanding_ -= next->tokens;
+    grants_.erase(next);
+  }
+  AccrueUntil(now);
+}
+
+void rate_bucket::AccrueUntil(steady_time time) {
+  const auto elapsed = nanoseconds(time - accrued_at_).count();
   if (elapsed <= 0) {
     return;
   }
-  accrued_at_ = now;
-  // Grants end in the order of their expiry times; a lapsed grant counts as used.
-  std::erase_if(grants_, [&](const grant& each) {
-    if (each.expiry > now) {
-      return false;
-    }
-    outstanding_ -= each.tokens;
-    return true;
-  });
-  const wide gained =
-      wide{elapsed} * kAccrualPerNanosecond * static_cast<std::int64_t>(limit_.rate_per_second);
+  accrued_at_ = time;
+  const wide gained = wide{elapsed} * kAccrualPerNanosecond *
+                      static_cast<std::int64_t>(limit_.rate_per_second);
   const wide highest = Units(limit_.burst - std::min(outstanding_, limit_.burst));
   level_ =
       static_cast<std::int64_t>(std::min(wide{level_} + gained, std::max(highest, wide{level_})));
--- a/src/coordinator/rate_ledger.h
+++ b/src/coordinator/rate_ledger.h
@@ -83,6 +83,7 @@
   };
 
   void Accrue(steady_time now);
+  void AccrueUntil(steady_time time);
   std::chrono::nanoseconds TimeFor(std::int64_t units) const;
 
   rate_limit limit_;
