--- a/src/coordinator/coordinator_acquire.cpp
+++ b/src/coordinator/coordinator_acquire.cpp
@@ -17,6 +17,7 @@
 // resend waits this long for the outcome before it learns that the first request is still running.
 constexpr milliseconds kLongestResendWait(500);
 constexpr milliseconds kResendRetry(10);
+constexpr milliseconds kEndingRetry(2);
 constexpr char kSeparator = '\x1e';
 
 std::string FormatAdmission(const std::string& region,
@@ -183,6 +184,13 @@
   if (IsOrder(request, subject->is_keyed)) {
     const begin_result met = state_.CheckRecord(
         {request.workspace, request.idempotency_key, request.body_digest, request.request_id, {}});
+    // An entry VM tries the next upstream before the end of its former attempt is committed.
+    if (met.verdict == record_verdict::kStillRunning &&
+        IsEnding(request.workspace, request.idempotency_key) &&
+        now + kEndingRetry < subject->deadline) {
+      after_(kEndingRetry, [self = shared_from_this(), subject] { self->CheckHome(subject); });
+      return;
+    }
     if (met.verdict == record_verdict::kStillRunning &&
         now < std::min(subject->started + kLongestResendWait, subject->deadline)) {
       after_(kResendRetry, [self = shared_from_this(), subject] { self->CheckHome(subject); });
