--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -33,6 +33,10 @@
   static result<std::unique_ptr<control_node>> Start(control_settings settings);
   ~control_node();
 
+  /// The cause when the replica has stopped by itself, else empty. The process must end then and be
+  /// started again, which checks the files.
+  std::string Failure() const { return replica_->Status().failure; }
+
  private:
   control_node() = default;
   result<void> Open(control_settings settings);
--- a/src/control/control_reports.cpp
+++ b/src/control/control_reports.cpp
@@ -135,6 +135,7 @@
           {"open_fetches", static_cast<qint64>(fetches_.size())},
           {"regions", regions},
           {"replica", QJsonObject{{"role", Text(status.role)},
+                                  {"failure", Text(status.failure)},
                                   {"leader", Text(status.leader)},
                                   {"term", static_cast<qint64>(status.term)},
                                   {"commit_index", static_cast<qint64>(status.commit_index)},
--- a/src/control/operator_client.cpp
+++ b/src/control/operator_client.cpp
@@ -83,10 +83,13 @@
 
 rpc_result<show_reply> operator_client::Show() {
   const auto deadline = steady_clock::now() + patience_;
+  std::size_t tries = 0;
   while (true) {
     auto reply = CallOnce<show_reply>("control.show", show_request{}, kReadTimeout);
     const auto* failure = std::get_if<rpc_failure>(&reply);
-    if (failure == nullptr || !IsTransient(*failure) || steady_clock::now() >= deadline) {
+    // Each member is asked once, however little patience is left.
+    const bool is_last = ++tries >= channels_.size() && steady_clock::now() >= deadline;
+    if (failure == nullptr || !IsTransient(*failure) || is_last) {
       return reply;
     }
     Advance(*failure);
--- a/src/wire/daemon.cpp
+++ b/src/wire/daemon.cpp
@@ -88,6 +88,9 @@
   std::signal(SIGTERM, OnSignal);
   std::signal(SIGINT, OnSignal);
   std::signal(SIGPIPE, SIG_IGN);
+  // A write beyond the limit of file sizes fails like one on a full disk, instead of ending the
+  // process.
+  std::signal(SIGXFSZ, SIG_IGN);
 }
 
 signal_watcher::~signal_watcher() {
--- /dev/null
+++ b/tests/process/control_test.cpp
@@ -0,0 +1,419 @@
+// Control as real processes: races, lost answers, changes of leader, restarts, frozen and isolated
+// members, full disks and the loss of the majority.
+#include "support/control_group.h"
+#include "support/test_table.h"
+
+#include <sys/resource.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <future>
+#include <iterator>
+#include <set>
+
+namespace corianderhoist {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string kService = "service orders floor=50 # Nino";
+const std::string kShop = "workspace shop places=centre rate=5/s burst=9 # Nino";
+const std::string kShopMoved = "workspace shop places=west rate=5/s burst=9 # Nino";
+
+change_reply Answered(const send_outcome& outcome) {
+  CPPUNIT_ASSERT_MESSAGE(outcome.detail, outcome.status == send_status::kAnswered);
+  return outcome.reply;
+}
+
+std::uint64_t Committed(const send_outcome& outcome) {
+  const change_reply reply = Answered(outcome);
+  CPPUNIT_ASSERT_MESSAGE(reply.result.detail, reply.result.status == change_status::kCommitted);
+  return reply.result.version;
+}
+
+show_reply Shown(control_group& group) {
+  const auto shown = group.Operator()->Show();
+  if (const auto* failure = std::get_if<rpc_failure>(&shown)) {
+    CPPUNIT_FAIL(failure->detail);
+  }
+  return std::get<show_reply>(shown);
+}
+
+// Guards against a last writer that silently wins.
+const test_table kRace("control process", "of two operators on one version one wins", [] {
+  control_group group;
+  group.StartAll();
+  std::uint64_t base = 0;
+  for (int round = 0; round < 5; ++round) {
+    std::vector<send_outcome> outcomes(2);
+    std::vector<std::thread> operators;
+    operators.reserve(outcomes.size());
+    for (std::size_t i = 0; i < outcomes.size(); ++i) {
+      operators.emplace_back([&, i] {
+        const std::string name = "service s" + std::to_string(round) + "-" + std::to_string(i);
+        outcomes[i] = group.Operator()->Send(RulesChange(base, {}, {name + " floor=1 # Nino"}));
+      });
+    }
+    for (std::thread& each : operators) {
+      each.join();
+    }
+    const bool is_first = Answered(outcomes[0]).result.status == change_status::kCommitted;
+    const change_result won = outcomes[is_first ? 0 : 1].reply.result;
+    const change_result lost = Answered(outcomes[is_first ? 1 : 0]).result;
+    CPPUNIT_ASSERT(won.status == change_status::kCommitted);
+    CPPUNIT_ASSERT(lost.status == change_status::kVersionConflict);
+    CPPUNIT_ASSERT_EQUAL(won.version, lost.version);
+    CPPUNIT_ASSERT_EQUAL(std::string("operator-1"), lost.changed_by);
+    CPPUNIT_ASSERT(lost.changed_at == won.changed_at);
+    base = won.version;
+  }
+});
+
+// Guards against a change that takes effect a second time when its answer was lost.
+const test_table
+    kLostAnswer("control process", "a change sent again after a lost answer counts once", [] {
+      control_group group;
+      group.StartAll();
+      const std::string leader = group.WaitForLeader();
+      io_loop loop("proxy");
+      fault_proxy proxy(loop, group.AddressOf(leader));
+      const std::uint16_t port = proxy.Listen({"127.0.0.1", 0});
+      operator_client client(group.Identity(), {{leader, {"127.0.0.1", port}}}, seconds(2));
+      CPPUNIT_ASSERT(std::holds_alternative<show_reply>(client.Show()));
+
+      const change_request change = RulesChange(0, {}, {kService, kShop});
+      rpc_channel channel(loop, group.Identity(), {"127.0.0.1", port}, leader);
+      std::promise<rpc_result<show_reply>> connected;
+      channel.Call<show_reply>("control.show", show_request{}, seconds(20),
+                               [&](auto reply) { connected.set_value(std::move(reply)); });
+      CPPUNIT_ASSERT(std::holds_alternative<show_reply>(connected.get_future().get()));
+      proxy.SetBackward({milliseconds(0), true, 0});
+      std::promise<rpc_result<change_reply>> lost;
+      channel.Call<change_reply>("control.change", change, seconds(2),
+                                 [&](auto reply) { lost.set_value(std::move(reply)); });
+      CPPUNIT_ASSERT(std::holds_alternative<rpc_failure>(lost.get_future().get()));
+      proxy.SetBackward({});
+
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), Committed(group.Operator()->Send(change)));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), Shown(group).version);
+    });
+
+// Guards against results that live on the leader only, or are lost with the log when a snapshot
+// takes its place.
+const test_table kFirstResult(
+    "control process",
+    "a first result survives a change of leader, restarts and a snapshot",
+    [] {
+      control_group group;
+      group.StartAll();
+      const change_request won = RulesChange(0, {}, {kService, kShop});
+      const change_request lost = RulesChange(0, {}, {"service late floor=1 # Nino"});
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), Committed(group.Operator()->Send(won)));
+      const change_request given = KeyChange("shop", "key text");
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), Committed(group.Operator()->Send(given)));
+      Answered(group.Operator()->Send(lost));
+      const auto check = [&](const std::string& after, std::uint64_t version) {
+        const auto again = [&](const change_request& change) {
+          return Answered(group.Operator()->Send(change)).result;
+        };
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(after, std::uint64_t(1), again(won).version);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(after, std::uint64_t(2), again(given).version);
+        CPPUNIT_ASSERT_MESSAGE(after, again(lost).status == change_status::kVersionConflict);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(after, version, Shown(group).version);
+      };
+      const std::string first_leader = group.WaitForLeader();
+      group.Processes().Process(first_leader).Kill();
+      check("a change of leader", 2);
+      group.Processes().Start(first_leader);
+      for (const std::string& name : group.Processes().Names("control-")) {
+        group.Processes().Process(name).Kill();
+      }
+      group.StartAll();
+      check("a restart", 2);
+
+      const auto client = group.Operator();
+      std::uint64_t version = 2;
+      while (version < 1'100) {  // A snapshot is taken every 1,000 entries.
+        version = Committed(client->Send(ReleaseChange()));
+      }
+      Require("every member has a snapshot", [&] {
+        for (const std::string& name : group.Processes().Names("control-")) {
+          const QJsonObject state = fleet::Get(group.Processes().Status(name), "/state/control");
+          if (state["replica"].toObject()["snapshot_index"].toInt() < 1'000) {
+            return false;
+          }
+        }
+        return true;
+      });
+      for (const std::string& name : group.Processes().Names("control-")) {
+        group.Processes().Process(name).Kill();
+      }
+      group.StartAll();
+      check("a snapshot", version);
+    });
+
+// Guards against a member that was frozen while others went on, and then serves what it knew.
+const test_table
+    kFrozen("control process", "a leader that was frozen never shows an old version", [] {
+      control_group group;
+      group.StartAll();
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(1),
+                           Committed(group.Operator()->Send(RulesChange(0, {}, {kService}))));
+      for (std::uint64_t version = 1; version <= 3; ++version) {
+        const std::string frozen = group.WaitForLeader();
+        group.Processes().Process(frozen).SendSignal(SIGSTOP);
+        Require("the others accept a change", [&] {
+          const auto outcome = group.Operator(milliseconds(500))->Send(ReleaseChange());
+          return outcome.status == send_status::kAnswered;
+        });
+        const std::uint64_t now = Shown(group).version;
+        std::vector<std::thread> callers;
+        callers.reserve(20);
+        std::atomic<int> stale = 0;
+        for (int i = 0; i < 20; ++i) {  // Sent while it is frozen, answered when it wakes up.
+          callers.emplace_back([&, i] {
+            if (i % 2 == 0) {
+              const auto shown =
+                  group.CallMember<show_reply>(frozen, "control.show", show_request{});
+              const auto* reply = std::get_if<show_reply>(&shown);
+              stale += reply != nullptr && reply->version < now;
+            } else {
+              const auto news = group.CallMember<config_fetch_reply>(
+                  frozen, "config.fetch", config_fetch_request{now - 1, milliseconds(0)});
+              const auto* reply = std::get_if<config_fetch_reply>(&news);
+              stale += reply != nullptr && reply->changes.empty();
+            }
+          });
+        }
+        std::this_thread::sleep_for(milliseconds(200));
+        group.Processes().Process(frozen).SendSignal(SIGCONT);
+        for (std::thread& each : callers) {
+          each.join();
+        }
+        CPPUNIT_ASSERT_EQUAL(0, stale.load());
+      }
+    });
+
+// Guards against a former leader that is alone with its old state, and still answers from it or
+// ends a long poll with "nothing newer". The others are frozen in turn, which cuts it off from
+// them.
+const test_table
+    kIsolated("control process", "a former leader alone answers no read and no change", [] {
+      control_group group;
+      group.StartAll();
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(1),
+                           Committed(group.Operator()->Send(RulesChange(0, {}, {kService}))));
+      const std::string isolated = group.WaitForLeader();
+      const std::vector<std::string> others = group.Followers();
+      const auto signal_others = [&](int signal) {
+        for (const std::string& name : others) {
+          group.Processes().Process(name).SendSignal(signal);
+        }
+      };
+      group.Processes().Process(isolated).SendSignal(SIGSTOP);
+      const std::uint64_t version = Committed(group.Operator()->Send(ReleaseChange()));
+      signal_others(SIGSTOP);
+      group.Processes().Process(isolated).SendSignal(SIGCONT);
+      const change_request doomed = ReleaseChange();
+      auto poll = std::async(std::launch::async, [&] {
+        return group.CallMember<config_fetch_reply>(isolated, "config.fetch",
+                                                    config_fetch_request{1, milliseconds(3'000)});
+      });
+      const auto direct = group.CallMember<change_reply>(isolated, "control.change", doomed);
+      CPPUNIT_ASSERT(std::holds_alternative<rpc_failure>(direct));
+      CPPUNIT_ASSERT(std::holds_alternative<rpc_failure>(poll.get()));
+      CPPUNIT_ASSERT(std::holds_alternative<rpc_failure>(
+          group.CallMember<show_reply>(isolated, "control.show", show_request{})));
+      signal_others(SIGCONT);
+      Require("the isolated member follows", [&] {
+        const QJsonObject state = fleet::Get(group.Processes().Status(isolated), "/state/control");
+        return static_cast<std::uint64_t>(state["version"].toInteger()) >= version;
+      });
+      // The change that only the isolated member had is sent again: it counts once, wherever it
+      // went.
+      const std::uint64_t again = Committed(group.Operator()->Send(doomed));
+      CPPUNIT_ASSERT_EQUAL(again, Committed(group.Operator()->Send(doomed)));
+      CPPUNIT_ASSERT_EQUAL(std::max(again, version), Shown(group).version);
+    });
+
+// The limit holds for the log file of the process too, so the exit code is what remains to be seen.
+void LimitFiles(child_process& process, rlim_t bytes) {
+  const rlimit limit{bytes, RLIM_INFINITY};
+  CPPUNIT_ASSERT_EQUAL(
+      0, ::prlimit(static_cast<pid_t>(process.ProcessId()), RLIMIT_FSIZE, &limit, nullptr));
+}
+
+// Guards against a change that is accepted although it could not be written.
+const test_table kFullDisk("control process", "members with a full disk accept nothing", [] {
+  control_group group;
+  group.StartAll();
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t(1),
+                       Committed(group.Operator()->Send(RulesChange(0, {}, {kService}))));
+  const std::string leader = group.WaitForLeader();
+  LimitFiles(group.Processes().Process(leader), 1);
+  const change_request change = ReleaseChange();
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), Committed(group.Operator()->Send(change)));
+  CPPUNIT_ASSERT_EQUAL(1, group.Processes().Process(leader).WaitForEnd());
+
+  const std::string second = group.WaitForLeader();
+  LimitFiles(group.Processes().Process(second), 1);
+  const change_request open = ReleaseChange();
+  const send_outcome refused = group.Operator(seconds(3))->Send(open);
+  CPPUNIT_ASSERT(refused.status != send_status::kAnswered);
+  group.Processes().Process(second).WaitForEnd();
+  group.Processes().Start(leader);
+  group.Processes().Start(second);
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), Committed(group.Operator()->Send(open)));
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), Shown(group).version);
+});
+
+const test_table kReadOnly("control process", "a folder that cannot be written ends the start", [] {
+  control_group group;
+  const auto file = group.Processes().Folder() / "control-centre.json";
+  std::ifstream stream(file);
+  std::string text(std::istreambuf_iterator<char>(stream), {});
+  const std::string folder = group.Processes().DataFolder("control-centre").string();
+  text.replace(text.find(folder), folder.size(), "/proc/corianderhoist");
+  std::ofstream(file) << text;
+  const program_output output =
+      RunProgram(ProgramPath("corianderhoist-control"), {"--settings", file.string()});
+  CPPUNIT_ASSERT_EQUAL(1, output.exit_code);
+  CPPUNIT_ASSERT_MESSAGE(output.errors,
+                         output.errors.find("/proc/corianderhoist") != std::string::npos);
+});
+
+const test_table kSettings("control process", "invalid settings are reported in full", [] {
+  control_group group;
+  const auto file = group.Processes().Folder() / "invalid.json";
+  std::ofstream(file) << R"({"name":"a","listen":"127.0.0.1:0","status_listen":"x","members":[],
+                            "regions":["a","a"],"colour":"red"})";
+  const program_output output =
+      RunProgram(ProgramPath("corianderhoist-control"), {"--settings", file.string()});
+  CPPUNIT_ASSERT_EQUAL(2, output.exit_code);
+  for (const char* fault :
+       {"status_listen", "tls", "data_folder", "members", "regions", "colour"}) {
+    CPPUNIT_ASSERT_MESSAGE(output.errors, output.errors.find(fault) != std::string::npos);
+  }
+});
+
+// Guards against "accepted" for a change that may never take effect.
+const test_table kNoMajority("control process", "without a majority control says so", [] {
+  control_group group;
+  group.StartAll();
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t(1),
+                       Committed(group.Operator()->Send(RulesChange(0, {}, {kService}))));
+  const std::vector<std::string> followers = group.Followers();
+  for (const std::string& name : followers) {
+    group.Processes().Process(name).Kill();
+  }
+  const program_output released =
+      group.Processes().Ctl({"release", std::string(64, 'a'), "--timeout=3s"});
+  CPPUNIT_ASSERT_EQUAL(5, released.exit_code);
+  CPPUNIT_ASSERT(released.output.find("status: not_accepted") != std::string::npos);
+  CPPUNIT_ASSERT(released.errors.find("nothing was sent") != std::string::npos);
+  CPPUNIT_ASSERT_EQUAL(5, group.Processes().Ctl({"show", "--timeout=3s"}).exit_code);
+  for (const std::string& name : followers) {
+    group.Processes().Start(name);
+  }
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), Committed(group.Operator()->Send(ReleaseChange())));
+});
+
+// Guards against an early yes: a region that has not committed the change is named.
+const test_table kPending("control process", "a change is accepted once its regions have it", [] {
+  control_group group;
+  group.StartAll();
+  auto centre = group.Follow("centre");
+  change_request rules = RulesChange(0, {}, {kService, kShop});
+  rules.wait = milliseconds(1'500);
+  const change_reply first = Answered(group.Operator()->Send(rules));
+  CPPUNIT_ASSERT(first.result.status == change_status::kCommitted);
+  const std::set<std::string> missing(first.pending.begin(), first.pending.end());
+  CPPUNIT_ASSERT(missing == (std::set<std::string>{"west", "east"}));
+  CPPUNIT_ASSERT_EQUAL(std::size_t(1), Shown(group).pending.size());
+
+  // The key concerns its home region only.
+  change_request key = KeyChange("shop", "key text");
+  key.wait = seconds(30);
+  CPPUNIT_ASSERT(Answered(group.Operator()->Send(key)).pending.empty());
+
+  auto west = group.Follow("west");
+  auto east = group.Follow("east");
+  rules.wait = seconds(30);
+  const change_reply again = Answered(group.Operator()->Send(rules));
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t(1), again.result.version);
+  CPPUNIT_ASSERT(again.pending.empty());
+
+  // Neither a change of leader nor a member that comes back may show a region an older version.
+  group.Processes().Process(group.WaitForLeader()).Kill();
+  change_request release = ReleaseChange();
+  release.wait = seconds(30);
+  CPPUNIT_ASSERT(Answered(group.Operator()->Send(release)).pending.empty());
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), centre->Version());
+  CPPUNIT_ASSERT(!centre->HasGoneBack() && !west->HasGoneBack() && !east->HasGoneBack());
+  CPPUNIT_ASSERT(Shown(group).pending.empty());
+});
+
+// Guards against a withdrawal that is called in force while the former home region, which has not
+// heard of the move, still admits the key.
+const test_table kMovedHome("control process", "a withdrawal waits for a former home region", [] {
+  control_group group;
+  group.StartAll();
+  auto west = group.Follow("west");
+  auto east = group.Follow("east");
+  const auto client = group.Operator();
+  Committed(client->Send(RulesChange(0, {}, {kService, kShop})));
+  const change_request key = KeyChange("shop", "key text");
+  Committed(client->Send(key));
+  Committed(client->Send(RulesChange(1, {kShop}, {kShopMoved})));
+  change_request withdrawal;
+  withdrawal.change_id = "withdrawal-1";
+  withdrawal.kind = change_kind::kWithdrawKey;
+  withdrawal.key_id = KeyIdOf(key.key_hash);
+  withdrawal.wait = milliseconds(1'500);
+  const change_reply reply = Answered(client->Send(withdrawal));
+  CPPUNIT_ASSERT(reply.pending == std::vector<std::string>{"centre"});
+  auto centre = group.Follow("centre");
+  withdrawal.wait = seconds(30);
+  CPPUNIT_ASSERT(Answered(client->Send(withdrawal)).pending.empty());
+});
+
+// Guards against a key that can be read from a log, a dump or a data folder.
+const test_table kSecrets("control process", "a key is printed once and kept nowhere", [] {
+  control_group group;
+  group.StartAll();
+  fleet& processes = group.Processes();
+  auto centre = group.Follow("centre");
+  Committed(group.Operator()->Send(RulesChange(0, {}, {kService, kShop})));
+  const program_output given = processes.Ctl({"key", "give", "shop"});
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(given.errors, 0, given.exit_code);
+  const std::size_t start = given.output.find("\nkey: ") + 6;
+  const std::string key = given.output.substr(start, given.output.find('\n', start) - start);
+  CPPUNIT_ASSERT_EQUAL(std::size_t(64), key.size());
+  for (const std::string& name : processes.Names("control-")) {
+    const QJsonObject state = fleet::Get(processes.Status(name), "/state");
+    CPPUNIT_ASSERT(!state.isEmpty());
+    CPPUNIT_ASSERT_EQUAL(0, processes.Process(name).Stop());
+  }
+  std::size_t files = 0;
+  for (const auto& each : std::filesystem::recursive_directory_iterator(processes.Folder())) {
+    if (each.is_regular_file()) {
+      std::ifstream file(each.path(), std::ios::binary);
+      const std::string text(std::istreambuf_iterator<char>(file), {});
+      CPPUNIT_ASSERT_MESSAGE(each.path().string(), text.find(key) == std::string::npos);
+      ++files;
+    }
+  }
+  CPPUNIT_ASSERT(files > 10);
+  // The first key is named, and no other key is printed, when the change is sent again.
+  group.StartAll();
+  const std::size_t id_start = given.output.find("change_id: ") + 11;
+  const std::string change_id = given.output.substr(id_start, 32);
+  const program_output again = processes.Ctl({"key", "give", "shop", "--change_id=" + change_id});
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(again.errors, 0, again.exit_code);
+  CPPUNIT_ASSERT(again.output.find("\nkey: ") == std::string::npos);
+});
+
+}  // namespace
+}  // namespace corianderhoist
--- a/tools/control_main.cpp
+++ b/tools/control_main.cpp
@@ -3,7 +3,9 @@
 
 #include <gflags/gflags.h>
 #include <QCoreApplication>
+#include <QTimer>
 
+#include <chrono>
 #include <iostream>
 
 DEFINE_string(settings, "", "settings file (JSON, docs/design.md section 3.4)");
@@ -11,6 +13,8 @@
 namespace corianderhoist {
 namespace {
 
+constexpr std::chrono::milliseconds kFailureCheck(200);
+
 int Report(const error& failure) {
   std::cerr << AnswerFor(failure.kind).name << ": " << failure.detail << "\n";
   const bool is_settings = failure.kind == error_kind::kInvalidSettings;
@@ -23,10 +27,19 @@
   ConfigureLog(settings.process.name, settings.process.lowest_log_level);
   const signal_watcher signals([](int) { QCoreApplication::quit(); });
   BOOST_LEAF_AUTO(node, control_node::Start(std::move(settings)));
-  application.exec();
+  QTimer check;
+  QObject::connect(&check, &QTimer::timeout, &check, [&node] {
+    if (!node->Failure().empty()) {
+      QCoreApplication::exit(static_cast<int>(exit_code::kFailed));
+    }
+  });
+  check.start(kFailureCheck);
+  const int code = application.exec();
+  const std::string failure = node->Failure();
+  check.stop();
   node.reset();
-  log_event(log_level::kInfo, "stopped").Field("cause", "signal");
-  return static_cast<int>(exit_code::kStopped);
+  log_event(log_level::kInfo, "stopped").Field("cause", failure.empty() ? "signal" : failure);
+  return code;
 }
 
 }  // namespace
