Check consensus and storage with seeded schedules and a faulty disk

The schedules run five consensus cores with their storage against a network that loses, delays, duplicates, reorders and cuts (one way, too), clocks of different speed, frozen and crashed members, refused and torn writes, lost disks and membership changes. They check that one group exists, a term has one leader, committed entries do not change, commands are applied once and in order, the lease has one holder that knows every accepted command, confirmed reads see earlier commits, and that the group works again once the faults have ended. The fake disk loses unsynced data, tears at sectors, flips bits and refuses.

Faults that they found, now fixed: - A founding member that missed the founding could never vote when the only other holder of the founding entry was lost. A member without a log now joins through a vote request, which carries the founding entry. The state file notes when a log must exist. - All first members lost their disks one after the other, were replaced by others, and then founded a second group. A replica without a group now notes on disk that a group exists as soon as that group addresses it. - A pre-vote named a group that was not on disk yet, and barred a founding that was then forgotten. The tests with real sockets found that a learner was sent nothing until the next proposal. The storage tests found that the cause of a failed write was lost (Boost.LEAF drops an error that a handler raises).

--- a/src/consensus/core.cpp
+++ b/src/consensus/core.cpp
@@ -160,10 +160,18 @@
 }
 
 void consensus_core::AppendToLog(log_entry entry) {
+  NoteLog();
   Pending().entries.push_back(entry);
   log_.Append(std::move(entry));
 }
 
+void consensus_core::NoteLog() {
+  if (!state_.has_log) {
+    state_.has_log = true;
+    SaveState();
+  }
+}
+
 void consensus_core::TruncateLog(std::uint64_t index) {
   assert(index > commit_ && "a committed entry must not change");
   log_.TruncateFrom(index);
@@ -175,12 +183,15 @@
 }
 
 // A message for another data folder, or from another group, is ignored. A replica without a group
-// listens to the founding and to a leader that knows its id.
+// joins the first one that has its id among the members.
 bool consensus_core::Accepts(const raft_message& message) {
   if (message.kind == message_kind::kIdentify) {
     return true;
   }
   if (message.to_id != state_.replica_id) {
+    if (message.group != 0) {
+      BarFounding();
+    }
     return false;
   }
   switch (message.kind) {
@@ -188,6 +199,8 @@
     case message_kind::kFound:
     case message_kind::kFoundAnswer:
       return true;
+    case message_kind::kPreVote:
+    case message_kind::kVote:
     case message_kind::kAppend:
     case message_kind::kSnapshot:
       return state_.group == 0 || message.group == state_.group;
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -129,6 +129,7 @@
   storage_write& Pending();
   void SaveState();
   void AppendToLog(log_entry entry);
+  void NoteLog();
   void TruncateLog(std::uint64_t index);
 
   // Dispatch (core.cpp).
@@ -180,7 +181,10 @@
   void OnIdentify(const raft_message& request);
   void OnIdentifyAnswer(const raft_message& answer);
   void OnFound(const raft_message& request);
+  void StoreFounding(const raft_message& request);
   bool IsFounder() const;
+  void BarFounding();
+  void AnnounceGroup();
 
   const core_settings settings_;
   std::mt19937_64 random_;
--- a/src/consensus/core_election.cpp
+++ b/src/consensus/core_election.cpp
@@ -35,7 +35,8 @@
       request.term = state_.term + 1;
       request.index = log_.LastIndex();
       request.index_term = log_.LastTerm();
-      Send(std::move(request));
+      // Waits even though it promises nothing: it names the group, which must be on disk by then.
+      SendWhenDurable(std::move(request));
     }
   }
   if (log_.Members().Majority() == 1) {
@@ -62,6 +63,9 @@
     raft_message request = Make(message_kind::kVote, member.replica_id);
     request.index = log_.LastIndex();
     request.index_term = log_.LastTerm();
+    if (log_.HasTerm(0)) {
+      request.entries = {log_.At(1)};  // A voter that joins needs the founding entry.
+    }
     SendWhenDurable(std::move(request));
   }
 }
@@ -69,18 +73,22 @@
 void consensus_core::OnVoteRequest(const raft_message& request) {
   const bool is_pre = request.kind == message_kind::kPreVote;
   const auto answer_kind = is_pre ? message_kind::kPreVoteAnswer : message_kind::kVoteAnswer;
+  raft_message answer = MakeAnswer(request, answer_kind);
+  answer.group = request.group;
   // While a leader may hold a lease because of this replica, even the term stays as it is.
   if (HasHeardLeader()) {
-    return SendWhenDurable(MakeAnswer(request, answer_kind));
+    return SendWhenDurable(std::move(answer));
   }
   if (!is_pre && request.term > state_.term) {
+    state_.group = request.group;
     BecomeFollower(request.term, 0);
+    StoreFounding(request);
+    answer.term = state_.term;
   }
   const bool is_current = is_pre ? request.term > state_.term : request.term == state_.term;
   const bool is_free = is_pre || state_.voted_for == 0 || state_.voted_for == request.from_id;
   const bool has_log = std::tuple(request.index_term, request.index) >=
                        std::tuple(log_.LastTerm(), log_.LastIndex());
-  raft_message answer = MakeAnswer(request, answer_kind);
   answer.is_granted = is_current && is_free && has_log;
   if (answer.is_granted && is_pre) {
     answer.term = request.term;
--- a/src/consensus/core_membership.cpp
+++ b/src/consensus/core_membership.cpp
@@ -6,11 +6,22 @@
 // member with a wiped disk can neither be founded again nor vote under its former id. A group has a
 // random id; messages of another group are ignored, so two foundings (the founder lost its disk
 // in between) cannot both gather a majority of data folders.
+//
+// When every first member has lost its disk and was replaced by a member that the settings do not
+// name, the exchange alone would found a second group. A replica without a group that is addressed
+// by one, under a former id or by the announcements of the leader, therefore remembers on disk that
+// a group exists. Replicas that are cut off from the whole group and all lost their disks would
+// still found a new one; their settings must name a current member.
 #include "consensus/core.h"
 
 #include <algorithm>
 
 namespace corianderhoist {
+namespace {
+
+constexpr int kAnnouncementHeartbeats = 10;
+
+}  // namespace
 
 bool consensus_core::IsChangeBlocked() const {
   return log_.MembersIndex() > commit_ || commit_ < term_start_;
@@ -95,13 +106,34 @@
     return;
   }
   next_founding_ = now_ + settings_.heartbeat;
-  if (state_.group == 0 && IsFounder()) {
+  if (IsLeader()) {
+    next_founding_ = now_ + settings_.heartbeat * kAnnouncementHeartbeats;
+    AnnounceGroup();
+  } else if (state_.group == 0 && !state_.is_barred && IsFounder()) {
     AskFirstMembers();
   } else if (state_.group != 0 && commit_ == 0 && !HasHeardLeader()) {
     HandOutFounding();
   }
 }
 
+// Tells first members that are not in the group any more that it exists.
+void consensus_core::AnnounceGroup() {
+  for (const group_member& member : settings_.first_members) {
+    if (member.name != settings_.name && !log_.Members().FindByName(member.name)) {
+      raft_message notice = Make(message_kind::kFound, 0);
+      notice.to = member.name;
+      Send(std::move(notice));
+    }
+  }
+}
+
+void consensus_core::BarFounding() {
+  if (state_.group == 0 && !state_.is_barred) {
+    state_.is_barred = true;
+    SaveState();
+  }
+}
+
 void consensus_core::AskFirstMembers() {
   if (first_ids_.size() + 1 == settings_.first_members.size()) {
     FoundGroup();
@@ -147,7 +179,7 @@
 
 void consensus_core::OnIdentify(const raft_message& request) {
   raft_message answer = MakeAnswer(request, message_kind::kIdentifyAnswer);
-  answer.is_granted = state_.group == 0;
+  answer.is_granted = state_.group == 0 && !state_.is_barred;
   SendWhenDurable(std::move(answer));
 }
 
@@ -169,17 +201,26 @@
 void consensus_core::OnFound(const raft_message& request) {
   raft_message answer = MakeAnswer(request, message_kind::kFoundAnswer);
   answer.group = request.group;
-  const bool is_valid = request.entries.size() == 1 && request.entries.front().index == 1 &&
-                        request.entries.front().kind == entry_kind::kMembership &&
-                        DecodeMembership(request.entries.front().data).IsVoter(state_.replica_id);
-  if (state_.group == 0 && is_valid) {
-    state_.group = request.group;
-    state_.term = request.entries.front().term;
-    SaveState();
-    AppendToLog(request.entries.front());
+  if (state_.group == 0 || state_.group == request.group) {
+    StoreFounding(request);
   }
-  answer.is_granted = state_.group == request.group;
+  answer.is_granted = state_.group == request.group && state_.has_log;
   SendWhenDurable(std::move(answer));
 }
 
+// Takes over the founding entry while the log is empty.
+void consensus_core::StoreFounding(const raft_message& request) {
+  if (state_.has_log || request.entries.size() != 1) {
+    return;
+  }
+  const log_entry& entry = request.entries.front();
+  if (entry.index != 1 || entry.kind != entry_kind::kMembership ||
+      !DecodeMembership(entry.data).IsVoter(state_.replica_id)) {
+    return;
+  }
+  state_.group = request.group;
+  state_.term = std::max(state_.term, entry.term);
+  AppendToLog(entry);
+}
+
 }  // namespace corianderhoist
--- a/src/consensus/core_replication.cpp
+++ b/src/consensus/core_replication.cpp
@@ -10,15 +10,7 @@
 // ---- Receiving side ----
 
 void consensus_core::OnAppend(const raft_message& request) {
-  if (state_.group == 0) {
-    if (request.index != 0 || request.entries.empty()) {
-      raft_message answer = MakeAnswer(request, message_kind::kAppendAnswer);
-      answer.group = request.group;
-      answer.term = request.term;
-      return Send(std::move(answer));  // Asks for the log from its start.
-    }
-    state_.group = request.group;
-  }
+  state_.group = request.group;
   if (request.term < state_.term) {
     return SendWhenDurable(MakeAnswer(request, message_kind::kAppendAnswer));
   }
@@ -60,9 +52,6 @@
     }
     AppendToLog(entry);
   }
-  if (!request.entries.empty() && log_.LastIndex() > 0) {
-    receiving_.reset();
-  }
 }
 
 // The answer names the last entry that can match, skipping the whole term of the conflict.
@@ -81,14 +70,12 @@
 
 void consensus_core::OnSnapshot(const raft_message& request) {
   raft_message answer = MakeAnswer(request, message_kind::kSnapshotAnswer);
-  answer.group = request.group;
   answer.index = request.index;
-  if (state_.group != 0 && request.term < state_.term) {
+  if (request.term < state_.term) {
     return SendWhenDurable(std::move(answer));
   }
-  if (state_.group != 0) {
-    FollowLeader(request);
-  }
+  state_.group = answer.group = request.group;
+  FollowLeader(request);
   answer.term = request.term;
   if (request.index > commit_) {
     if (!receiving_ || receiving_->index != request.index ||
@@ -108,10 +95,7 @@
 }
 
 void consensus_core::InstallSnapshot(const raft_message& request) {
-  if (state_.group == 0) {
-    state_.group = request.group;
-    FollowLeader(request);
-  }
+  NoteLog();
   std::string data = std::exchange(receiving_, std::nullopt)->data;
   if (log_.HasTerm(request.index) && log_.TermAt(request.index) == request.index_term) {
     return CommitUpTo(request.index);
@@ -150,7 +134,8 @@
     if (state.is_waiting && now_ - state.waiting_since > settings_.election_timeout / 2) {
       state.is_waiting = false;  // The message or its answer was lost.
     }
-    if (!state.is_waiting && state.next <= log_.LastIndex()) {
+    // Not `next`: it is a guess at first, and a member that lacks entries must be asked for them.
+    if (!state.is_waiting && state.match < log_.LastIndex()) {
       ReplicateTo(peer, state);
     }
   }
--- a/src/consensus/replica_calls.cpp
+++ b/src/consensus/replica_calls.cpp
@@ -114,7 +114,7 @@
                 return done(std::move(*failure));
               }
               const raft_message& answer = std::get<raft_message>(reply);
-              if (!answer.is_granted && answer.group != core_->Group()) {
+              if (answer.group != 0 && answer.group != core_->Group()) {
                 return done(rpc_failure{
                     error_kind::kVersionConflict, member.name + " belongs to another group", {}});
               }
--- a/src/storage/format.cpp
+++ b/src/storage/format.cpp
@@ -250,6 +250,8 @@
   PutInteger(body, state.group);
   PutInteger(body, state.term);
   PutInteger(body, state.voted_for);
+  PutInteger(body, static_cast<std::uint8_t>(state.has_log ? 1 : 0));
+  PutInteger(body, static_cast<std::uint8_t>(state.is_barred ? 1 : 0));
   return EncodeFile(kStateMagic, body);
 }
 
@@ -261,6 +263,8 @@
   state.group = in.Get<std::uint64_t>();
   state.term = in.Get<std::uint64_t>();
   state.voted_for = in.Get<std::uint64_t>();
+  state.has_log = in.Get<std::uint8_t>() != 0;
+  state.is_barred = in.Get<std::uint8_t>() != 0;
   if (!in.is_valid || !in.rest.empty()) {
     return Damaged("state", "wrong length");
   }
--- a/src/storage/records.h
+++ b/src/storage/records.h
@@ -36,6 +36,9 @@
   std::uint64_t group = 0;       ///< Random id of the group; 0 before the replica belongs to one.
   std::uint64_t term = 0;
   std::uint64_t voted_for = 0;  ///< Replica id, 0 for none.
+  bool has_log = false;  ///< Set with the first entry or snapshot, so that their loss is noticed.
+
+  bool is_barred = false;  ///< A group that knows this name exists; no other may be founded.
 
   bool operator==(const hard_state&) const = default;
 };
@@ -51,7 +54,7 @@
 using snapshot_ptr = std::shared_ptr<const snapshot>;
 
 /// Changes that become durable together, in this order: snapshot, truncation, entries; the state
-/// comes first, or last when it makes the replica a member of a group.
+/// comes first, or last when it sets `has_log`.
 struct storage_write {
   std::uint64_t sequence = 0;
   std::optional<hard_state> state;
--- a/src/storage/replica_store.cpp
+++ b/src/storage/replica_store.cpp
@@ -37,11 +37,11 @@
 result<std::unique_ptr<replica_store>> replica_store::Open(disk& files,
                                                            std::uint64_t new_replica_id) {
   std::unique_ptr<replica_store> store(new replica_store(files));
-  BOOST_LEAF_CHECK(store->Recover(new_replica_id));
+  BOOST_LEAF_CHECK(store->Load(new_replica_id));
   return store;
 }
 
-result<void> replica_store::Recover(std::uint64_t new_replica_id) {
+result<void> replica_store::Load(std::uint64_t new_replica_id) {
   BOOST_LEAF_AUTO(names, files_.List());
   for (const std::string& name : names) {
     if (name.ends_with(kTemporaryEnding)) {
@@ -71,7 +71,7 @@
       return Damaged("the state file is missing beside a log");
     }
     assert(new_replica_id != 0 && "a replica id must not be 0");
-    BOOST_LEAF_CHECK(WriteState(hard_state{new_replica_id, 0, 0, 0}));
+    BOOST_LEAF_CHECK(WriteState(hard_state{.replica_id = new_replica_id}));
   }
   recovered_.state = state_;
   return {};
@@ -115,12 +115,12 @@
   return {};
 }
 
-// A crash can separate the new snapshot, the new group or the removal of the old log from each
-// other. Entries behind the snapshot are kept only if they continue it.
+// A crash can separate the first entries from the state that announces them, and a new snapshot
+// from the removal of the old log. Entries behind the snapshot are kept only if they continue it.
 result<void> replica_store::MatchLogToSnapshot() {
   const snapshot_ptr& last = recovered_.last_snapshot;
   const std::vector<log_entry>& entries = recovered_.entries;
-  if (state_.group == 0) {
+  if (!state_.has_log) {
     if (last) {
       BOOST_LEAF_CHECK(files_.Remove(kSnapshotName));
       BOOST_LEAF_CHECK(files_.SyncFolder());
@@ -129,7 +129,7 @@
     return DropLog();
   }
   if (!last && entries.empty()) {
-    return Damaged("the replica belongs to a group, but log and snapshot are missing");
+    return Damaged("log and snapshot are missing");
   }
   const std::uint64_t base = last ? last->index : 0;
   if (entries.empty()) {
@@ -153,17 +153,18 @@
   if (!failure_.empty()) {
     return Fail(error_kind::kStorageFailed, failure_);
   }
-  return boost::leaf::try_handle_some([&] { return WriteAll(write); },
-                                      [&](const error& cause) -> result<void> {
-                                        failure_ = cause.detail;
-                                        return Fail(cause.kind, cause.detail);
-                                      });
+  failure_ = Recover(
+      [&]() -> result<std::string> {
+        BOOST_LEAF_CHECK(WriteAll(write));
+        return std::string();
+      },
+      [](const error& cause) { return cause.detail; });
+  return failure_.empty() ? result<void>() : Fail(error_kind::kStorageFailed, failure_);
 }
 
 result<void> replica_store::WriteAll(const storage_write& write) {
-  // A state that names a group must find the log of that group, so that a lost log is noticed.
-  const bool is_joining = write.state && state_.group == 0 && write.state->group != 0;
-  if (write.state && !is_joining) {
+  const bool is_first_log = write.state && !state_.has_log && write.state->has_log;
+  if (write.state && !is_first_log) {
     BOOST_LEAF_CHECK(WriteState(*write.state));
   }
   if (write.new_snapshot) {
@@ -175,7 +176,7 @@
   if (!write.entries.empty()) {
     BOOST_LEAF_CHECK(AppendEntries(write.entries));
   }
-  if (is_joining) {
+  if (is_first_log) {
     BOOST_LEAF_CHECK(WriteState(*write.state));
   }
   return write.keep_from != 0 ? DropBefore(write.keep_from) : result<void>();
--- a/src/storage/replica_store.h
+++ b/src/storage/replica_store.h
@@ -42,7 +42,7 @@
   };
 
   explicit replica_store(disk& files) : files_(files) {}
-  result<void> Recover(std::uint64_t new_replica_id);
+  result<void> Load(std::uint64_t new_replica_id);
   result<void> RecoverState(const std::vector<std::string>& names, std::uint64_t new_replica_id);
   result<void> RecoverSegments(const std::vector<std::string>& names);
   result<void> RecoverSegment(const std::string& name, bool is_last);
--- /dev/null
+++ b/tests/unit/consensus/schedule_test.cpp
@@ -0,0 +1,96 @@
+// Seeded schedules over the consensus core: whatever the network, the disks and the clocks do, a
+// term has one leader, committed entries are never lost or changed, the lease has one holder, and
+// commands are applied once and in order.
+//
+// CORIANDERHOIST_SCHEDULE_SEED=N replays one schedule with a trace; CORIANDERHOIST_SCHEDULES=N sets
+// how many are run.
+#include "support/consensus_schedule.h"
+#include "support/test_table.h"
+
+#include <unistd.h>
+#include <atomic>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <mutex>
+#include <thread>
+
+namespace corianderhoist {
+namespace {
+
+constexpr std::uint64_t kDefaultSchedules = 2000;
+constexpr std::size_t kThreads = 4;
+
+thread_local std::uint64_t running_seed = 0;
+
+// A failed assertion in the core ends the process; the seed must be known even then.
+void PrintSeed(int) {
+  const std::string text = "aborted in schedule seed " + std::to_string(running_seed) + "\n";
+  (void)!::write(STDERR_FILENO, text.data(), text.size());
+}
+
+std::uint64_t NumberFromEnvironment(const char* name, std::uint64_t otherwise) {
+  const char* text = std::getenv(name);
+  return text == nullptr ? otherwise : std::strtoull(text, nullptr, 10);
+}
+
+void Add(schedule_counts& sum, const schedule_counts& counts) {
+  sum.committed += counts.committed;
+  sum.elections += counts.elections;
+  sum.crashes += counts.crashes;
+  sum.wipes += counts.wipes;
+  sum.refusals += counts.refusals;
+  sum.membership_changes += counts.membership_changes;
+  sum.restored += counts.restored;
+  sum.reads += counts.reads;
+  sum.lease_checks += counts.lease_checks;
+}
+
+void Print(std::uint64_t schedules, const schedule_counts& sum) {
+  std::cout << schedules << " schedules: " << sum.committed << " committed entries, "
+            << sum.elections << " elections, " << sum.crashes << " crashes, " << sum.wipes
+            << " lost disks, " << sum.refusals << " refused writes, " << sum.membership_changes
+            << " membership changes, " << sum.restored << " installed snapshots, " << sum.reads
+            << " confirmed reads, " << sum.lease_checks << " moments with a lease" << std::endl;
+}
+
+const test_table kSchedules("consensus", "holds its promises in seeded schedules", [] {
+  std::signal(SIGABRT, PrintSeed);
+  if (const std::uint64_t seed = NumberFromEnvironment("CORIANDERHOIST_SCHEDULE_SEED", 0)) {
+    running_seed = seed;
+    Print(1, consensus_schedule(seed, true).Run());
+    return;
+  }
+  const std::uint64_t count = NumberFromEnvironment("CORIANDERHOIST_SCHEDULES", kDefaultSchedules);
+  std::atomic<std::uint64_t> next_seed = 1;
+  std::mutex lock;
+  schedule_counts sum;
+  std::vector<std::string> failures;
+  std::vector<std::thread> threads;
+  for (std::size_t i = 0; i < kThreads; ++i) {
+    threads.emplace_back([&] {
+      while ((running_seed = next_seed++) <= count) {
+        try {
+          const schedule_counts counts = consensus_schedule(running_seed).Run();
+          const std::lock_guard guard(lock);
+          Add(sum, counts);
+        } catch (const schedule_failure& failure) {
+          const std::lock_guard guard(lock);
+          failures.emplace_back(failure.what());
+        }
+      }
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  Print(count, sum);
+  std::string text = std::to_string(failures.size()) + " schedules failed";
+  for (std::size_t i = 0; i < std::min<std::size_t>(failures.size(), 10); ++i) {
+    text += "\n" + failures[i];
+  }
+  CPPUNIT_ASSERT_MESSAGE(text, failures.empty());
+});
+
+}  // namespace
+}  // namespace corianderhoist
--- /dev/null
+++ b/tests/unit/storage/storage_test.cpp
@@ -0,0 +1,319 @@
+// The data folder of a replica: what was synced survives every crash, what was damaged is noticed,
+// and a disk that refuses leaves no half-accepted entry.
+#include "storage/file_disk.h"
+#include "storage/format.h"
+#include "storage/replica_store.h"
+#include "support/fake_disk.h"
+#include "support/test_fleet_keys.h"
+#include "support/test_table.h"
+
+#include <filesystem>
+#include <fstream>
+#include <random>
+
+namespace corianderhoist {
+namespace {
+
+constexpr std::uint64_t kReplicaId = 77;
+
+hard_state MemberState(std::uint64_t term) {
+  return {.replica_id = kReplicaId, .group = 9, .term = term, .voted_for = 5, .has_log = true};
+}
+
+std::vector<log_entry> Entries(std::uint64_t first, std::uint64_t count, std::size_t size = 10) {
+  std::vector<log_entry> entries;
+  for (std::uint64_t i = first; i < first + count; ++i) {
+    entries.push_back(
+        {i, 3, entry_kind::kCommand, std::string(size, static_cast<char>('a' + i % 26))});
+  }
+  return entries;
+}
+
+storage_write AppendOf(std::uint64_t first, std::uint64_t count, std::size_t size = 10) {
+  storage_write write;
+  write.entries = Entries(first, count, size);
+  return write;
+}
+
+std::unique_ptr<replica_store> OpenStore(disk& files) {
+  return Expect([&] { return replica_store::Open(files, kReplicaId); });
+}
+
+// Returns the kind and text of a failure; fails the test when there is none.
+error FailureOf(const std::function<result<void>()>& call) {
+  bool has_failed = false;
+  error failure = Recover(
+      [&]() -> result<error> {
+        BOOST_LEAF_CHECK(call());
+        return error();
+      },
+      [&](const error& cause) {
+        has_failed = true;
+        return cause;
+      });
+  CPPUNIT_ASSERT_MESSAGE("the call succeeded", has_failed);
+  return failure;
+}
+
+void Write(replica_store& store, const storage_write& write) {
+  Expect([&]() -> result<int> {
+    BOOST_LEAF_CHECK(store.Write(write));
+    return 0;
+  });
+}
+
+result<void> TryOpen(disk& files) {
+  BOOST_LEAF_CHECK(replica_store::Open(files, kReplicaId));
+  return {};
+}
+
+// A folder with the state and two batches: entries 1 to 3 and 4 to 6.
+void Fill(fake_disk& files) {
+  auto store = OpenStore(files);
+  storage_write first = AppendOf(1, 3);
+  first.state = MemberState(3);
+  Write(*store, first);
+  Write(*store, AppendOf(4, 3));
+}
+
+const std::string kLog = "log-00000000000000000001";
+
+const test_table kCheckValue("storage", "CRC-32C gives the value of RFC 3720", [] {
+  CPPUNIT_ASSERT_EQUAL(std::uint32_t(0xE3069283), Crc32c("123456789"));
+  CPPUNIT_ASSERT_EQUAL(std::uint32_t(0x8A9136AA), Crc32c(std::string(32, '\0')));
+});
+
+const test_table kReopen("storage", "state, snapshot and entries are read back", [] {
+  fake_disk files;
+  Fill(files);
+  storage_write write;
+  write.new_snapshot = std::make_shared<const snapshot>(snapshot{4, 3, 1, "members", "data"});
+  Write(*OpenStore(files), write);
+  const stored_state stored = OpenStore(files)->TakeRecovered();
+  CPPUNIT_ASSERT(stored.state == MemberState(3));
+  CPPUNIT_ASSERT(stored.entries == Entries(1, 6));
+  CPPUNIT_ASSERT_EQUAL(std::string("data"), stored.last_snapshot->data);
+  CPPUNIT_ASSERT_EQUAL(std::string("members"), stored.last_snapshot->membership);
+});
+
+const test_table kTruncate("storage", "entries of a former leader are replaced", [] {
+  fake_disk files;
+  Fill(files);
+  storage_write write = AppendOf(3, 2, 20);
+  write.truncate_from = 3;
+  Write(*OpenStore(files), write);
+  std::vector<log_entry> expected = Entries(1, 2);
+  expected.push_back(Entries(3, 1, 20).front());
+  expected.push_back(Entries(4, 1, 20).front());
+  CPPUNIT_ASSERT(OpenStore(files)->TakeRecovered().entries == expected);
+});
+
+// Guards against a cut log that is taken for damage, and against an entry that is half read.
+const test_table kTorn("storage",
+                       "a log cut at any byte of its last batch keeps the batches before",
+                       [] {
+                         fake_disk whole;
+                         Fill(whole);
+                         const std::string content = whole.Files().at(kLog);
+                         fake_disk first_batch;
+                         Write(*OpenStore(first_batch), [] {
+                           storage_write first = AppendOf(1, 3);
+                           first.state = MemberState(3);
+                           return first;
+                         }());
+                         const std::size_t synced = first_batch.Files().at(kLog).size();
+                         for (std::size_t size = synced; size < content.size(); ++size) {
+                           fake_disk files;
+                           Fill(files);
+                           files.Replace(kLog, content.substr(0, size));
+                           const auto entries = OpenStore(files)->TakeRecovered().entries;
+                           CPPUNIT_ASSERT(entries.size() >= 3 && entries.size() < 6);
+                           CPPUNIT_ASSERT(entries == Entries(1, entries.size()));
+                           CPPUNIT_ASSERT(OpenStore(files)->TakeRecovered().entries == entries);
+                         }
+                       });
+
+// Guards against a flipped bit that drops or changes an entry, a vote or a snapshot in silence.
+const test_table kFlip("storage", "a flipped bit anywhere is reported as damage", [] {
+  fake_disk original;
+  Fill(original);
+  storage_write write;
+  write.new_snapshot = std::make_shared<const snapshot>(snapshot{4, 3, 1, "members", "data"});
+  Write(*OpenStore(original), write);
+  for (const auto& [name, content] : original.Files()) {
+    for (std::size_t bit = 0; bit < content.size() * 8; ++bit) {
+      fake_disk files;
+      for (const auto& [other, bytes] : original.Files()) {
+        files.Replace(other, bytes);
+      }
+      std::string flipped = content;
+      flipped[bit / 8] = static_cast<char>(flipped[bit / 8] ^ (1 << (bit % 8)));
+      files.Replace(name, flipped);
+      const error failure = FailureOf([&] { return TryOpen(files); });
+      CPPUNIT_ASSERT_MESSAGE(name + " bit " + std::to_string(bit),
+                             failure.kind == error_kind::kStorageDamaged);
+    }
+  }
+});
+
+struct missing_file {
+  std::string name;
+  std::string file;
+};
+
+const test_table kMissing("storage damage",
+                          std::vector<missing_file>{
+                              {"a missing state file is reported", "state"},
+                              {"a missing log is reported", kLog},
+                              {"a missing segment in the middle is reported",
+                               "log-00000000000000001001"},
+                          },
+                          std::function([](const missing_file& row) {
+                            fake_disk files;
+                            auto store = OpenStore(files);
+                            storage_write first = AppendOf(1, 1000);
+                            first.state = MemberState(3);
+                            Write(*store, first);
+                            if (row.file != kLog) {
+                              Write(*store, AppendOf(1001, 1000));
+                              Write(*store, AppendOf(2001, 5));
+                            }
+                            files.Delete(row.file);
+                            const error failure = FailureOf([&] { return TryOpen(files); });
+                            CPPUNIT_ASSERT(failure.kind == error_kind::kStorageDamaged);
+                            CPPUNIT_ASSERT(failure.detail.find("learner") != std::string::npos);
+                          }));
+
+const test_table kVersion("storage", "files of another format version are refused by version", [] {
+  for (const std::string& name : {std::string("state"), kLog}) {
+    fake_disk files;
+    Fill(files);
+    std::string content = files.Files().at(name);
+    content[4] = 2;
+    files.Replace(name, content);
+    const error failure = FailureOf([&] { return TryOpen(files); });
+    CPPUNIT_ASSERT(failure.detail.find("format version 2") != std::string::npos);
+  }
+});
+
+// Guards against an entry that is half accepted on a full disk and against writing on after it.
+const test_table
+    kFull("storage", "a full disk fails the write, all later ones, and loses nothing", [] {
+      for (std::uint64_t space = 0; space < 150; ++space) {
+        fake_disk files;
+        Fill(files);
+        auto store = OpenStore(files);
+        files.LimitSpace(space);
+        const error failure = FailureOf([&] { return store->Write(AppendOf(7, 3, 50)); });
+        CPPUNIT_ASSERT_EQUAL(
+            std::string("storage_failed: write " + kLog + ": no space left on device"),
+            std::string(AnswerFor(failure.kind).name) + ": " + failure.detail);
+        files.LimitSpace(fake_disk::kUnlimited);
+        CPPUNIT_ASSERT(FailureOf([&] { return store->Write(AppendOf(7, 1)); }).kind ==
+                       error_kind::kStorageFailed);
+        CPPUNIT_ASSERT(!store->Failure().empty());
+        const auto entries = OpenStore(files)->TakeRecovered().entries;
+        CPPUNIT_ASSERT(entries.size() >= 6 && entries.size() < 9);
+        CPPUNIT_ASSERT(std::equal(entries.begin(), entries.begin() + 6, Entries(1, 6).begin()));
+      }
+    });
+
+const test_table
+    kRefuse("storage", "a crash after any step of a write leaves the old or the new content", [] {
+      std::mt19937_64 random(20261204);
+      for (int round = 0; round < 3000; ++round) {
+        fake_disk files;
+        Fill(files);
+        auto store = OpenStore(files);
+        storage_write write = AppendOf(5, 80);
+        write.truncate_from = 5;
+        write.state = MemberState(4);
+        write.new_snapshot =
+            std::make_shared<const snapshot>(snapshot{4, 3, 1, "members", std::string(2000, 'x')});
+        files.RefuseAfter(random() % 18);
+        const bool is_written = Recover(
+            [&]() -> result<bool> {
+              BOOST_LEAF_CHECK(store->Write(write));
+              return true;
+            },
+            [](const error&) { return false; });
+        files.Crash(random);
+        const stored_state stored = OpenStore(files)->TakeRecovered();
+        CPPUNIT_ASSERT(stored.state == MemberState(3) || stored.state == MemberState(4));
+        CPPUNIT_ASSERT(stored.entries.size() >= 4);
+        CPPUNIT_ASSERT(
+            std::equal(stored.entries.begin(), stored.entries.begin() + 4, Entries(1, 4).begin()));
+        if (is_written) {
+          CPPUNIT_ASSERT(stored.state == MemberState(4));
+          CPPUNIT_ASSERT(stored.last_snapshot != nullptr);
+          CPPUNIT_ASSERT_EQUAL(std::size_t(84), stored.entries.size());
+        }
+      }
+    });
+
+// Guards against a log that grows for ever.
+const test_table kBounded("storage", "snapshots bound the use of disk", [] {
+  fake_disk files;
+  auto store = OpenStore(files);
+  storage_write first = AppendOf(1, 1, 100);
+  first.state = MemberState(3);
+  Write(*store, first);
+  std::uint64_t largest = 0;
+  for (std::uint64_t index = 2; index <= 30'000; index += 10) {
+    storage_write write = AppendOf(index, 10, 100);
+    if (index % 1000 == 2 && index > 1000) {
+      write.new_snapshot =
+          std::make_shared<const snapshot>(snapshot{index - 1, 3, 1, "members", "data"});
+      write.keep_from = index - 1000;
+    }
+    Write(*store, write);
+    largest = std::max(largest, files.Bytes());
+  }
+  // Three segments of 1,000 entries of about 140 bytes.
+  CPPUNIT_ASSERT(largest < std::uint64_t(420'000));
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t(30'001),
+                       OpenStore(files)->TakeRecovered().entries.back().index);
+});
+
+struct temporary_folder {
+  temporary_folder()
+      : path(std::filesystem::temp_directory_path() /
+             ("corianderhoist-storage-" + std::to_string(std::random_device()()))) {}
+  ~temporary_folder() { std::filesystem::remove_all(path); }
+  std::filesystem::path path;
+};
+
+const test_table kRealDisk("storage", "a real folder keeps its content and is locked", [] {
+  const temporary_folder folder;
+  {
+    auto files = Expect([&] { return file_disk::Open(folder.path); });
+    auto store = OpenStore(*files);
+    storage_write first = AppendOf(1, 2500);
+    first.state = MemberState(3);
+    Write(*store, first);
+    storage_write second = AppendOf(2000, 10);
+    second.truncate_from = 2000;
+    Write(*store, second);
+    const error failure = FailureOf([&]() -> result<void> {
+      BOOST_LEAF_CHECK(file_disk::Open(folder.path));
+      return {};
+    });
+    CPPUNIT_ASSERT(failure.detail.find("another process") != std::string::npos);
+  }
+  auto files = Expect([&] { return file_disk::Open(folder.path); });
+  CPPUNIT_ASSERT(OpenStore(*files)->TakeRecovered().entries == Entries(1, 2009));
+});
+
+// /dev/full refuses every write with ENOSPC, like a full disk.
+const test_table kNoSpace("storage", "the failure of a real device names operation and cause", [] {
+  const temporary_folder folder;
+  std::filesystem::create_directories(folder.path);
+  std::filesystem::create_symlink("/dev/full", folder.path / "state.new");
+  auto files = Expect([&] { return file_disk::Open(folder.path); });
+  const error failure = FailureOf([&] { return files->Append("state.new", "x"); });
+  CPPUNIT_ASSERT(failure.kind == error_kind::kStorageFailed);
+  CPPUNIT_ASSERT(failure.detail.find("No space left on device") != std::string::npos);
+});
+
+}  // namespace
+}  // namespace corianderhoist
