--- a/src/coordinator/coordinator_acquire.cpp
+++ b/src/coordinator/coordinator_acquire.cpp
@@ -164,7 +164,7 @@
   }
   const steady_time now = clock_.Now();
   bool may_start = true;
-  crashes_.With(ToHex(request.fingerprint), [&](crash_registry& crashes) {
+  crashes_.With(ShardKey(request.fingerprint), [&](crash_registry& crashes) {
     subject->is_suspect = crashes.IsSuspect(request.fingerprint, now);
     may_start = crashes.TryStart(request.fingerprint, request.request_id, now, subject->deadline);
   });
@@ -449,7 +449,7 @@
     Refund(request.workspace);
   }
   if (subject->is_suspect) {
-    crashes_.With(ToHex(request.fingerprint), [&](crash_registry& crashes) {
+    crashes_.With(ShardKey(request.fingerprint), [&](crash_registry& crashes) {
       crashes.End(request.fingerprint, request.request_id);
     });
   }
--- a/src/coordinator/coordinator_complete.cpp
+++ b/src/coordinator/coordinator_complete.cpp
@@ -90,7 +90,7 @@
       is_bad_link = board.Judge().BadReporters().contains(report.entry_vm);
     });
   }
-  const bool must_block = crashes_.With(ToHex(report.fingerprint), [&](crash_registry& crashes) {
+  const bool must_block = crashes_.With(ShardKey(report.fingerprint), [&](crash_registry& crashes) {
     crashes.End(report.fingerprint, report.request_id);
     if (IsWholeAnswer(report.outcome)) {
       crashes.OnAnswered(report.fingerprint);
@@ -118,11 +118,10 @@
   }
   const std::string name = EndingName(report.workspace, report.idempotency_key);
   endings_.With(name, [&](std::multiset<std::string>& endings) { endings.insert(name); });
-  writer_->End(std::move(end), [self = shared_from_this(), name, reply = std::move(reply)](
-                                   rpc_result<empty_message> committed) {
-    self->endings_.With(name, [&](std::multiset<std::string>& endings) {
-      endings.erase(endings.find(name));
-    });
+  writer_->End(std::move(end), [self = shared_from_this(), name,
+                                reply = std::move(reply)](rpc_result<empty_message> committed) {
+    self->endings_.With(
+        name, [&](std::multiset<std::string>& endings) { endings.erase(endings.find(name)); });
     reply(std::move(committed));
   });
 }
--- a/src/coordinator/coordinator_core.cpp
+++ b/src/coordinator/coordinator_core.cpp
@@ -210,7 +210,7 @@
     });
   }
   for (const digest& each : released) {
-    crashes_.With(ToHex(each), [&](crash_registry& crashes) { crashes.Release(each); });
+    crashes_.With(ShardKey(each), [&](crash_registry& crashes) { crashes.Release(each); });
   }
   boards_.ForEach([&](board_map& boards) {
     for (auto& [service, board] : boards) {
--- a/src/coordinator/coordinator_core.h
+++ b/src/coordinator/coordinator_core.h
@@ -23,11 +23,17 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace corianderhoist {
 
+/// The bytes of a digest, for placement in a shard.
+inline std::string_view ShardKey(const digest& value) {
+  return {reinterpret_cast<const char*>(value.data()), value.size()};
+}
+
 /// Admissions of other regions that have been used here. Not thread safe; used by shard.
 class admission_book {
  public:
--- /dev/null
+++ b/tools/coordinator_bench_main.cpp
@@ -0,0 +1,246 @@
+// Measures decisions of a coordinator without network and storage: pairs of acquire and complete a
+// second on the given number of threads, and bytes a workspace, an upstream and a record. Output is
+// one JSON object.
+#include "base/clock.h"
+#include "base/log.h"
+#include "coordinator/coordinator_core.h"
+#include "coordinator/local_log.h"
+#include "coordinator/region_state.h"
+
+#include <gflags/gflags.h>
+#include <QJsonDocument>
+#include <QJsonObject>
+
+#include <malloc.h>
+#include <sys/resource.h>
+
+#include <atomic>
+#include <iostream>
+#include <thread>
+#include <vector>
+
+DEFINE_int32(pairs, 200'000, "pairs of acquire and complete per thread");
+DEFINE_int32(threads, 1, "threads that call");
+DEFINE_int32(workspaces, 1'000, "workspaces");
+DEFINE_int32(services, 16, "services");
+DEFINE_int32(upstreams, 12, "upstreams per service");
+DEFINE_int32(records, 0, "orders whose records are kept, for the memory of records");
+DEFINE_bool(orders, false, "requests are orders with an idempotency key");
+
+namespace corianderhoist {
+namespace {
+
+using std::chrono::steady_clock;
+
+double ProcessorSeconds() {
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec) +
+         static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) / 1e6;
+}
+
+double HeapBytes() {
+  return static_cast<double>(mallinfo2().uordblks);
+}
+
+std::string Workspace(int index) {
+  return "workspace-" + std::to_string(index);
+}
+
+std::string Service(int index) {
+  return "service-" + std::to_string(index);
+}
+
+class bench {
+ public:
+  bench()
+      : core_(std::make_shared<coordinator_core>(
+            "north",
+            state_,
+            log_,
+            clock_,
+            [](std::chrono::nanoseconds, const std::function<void()>&) {})) {
+    config_change first;
+    first.version = 1;
+    for (int i = 0; i < FLAGS_services; ++i) {
+      first.added_rules.push_back("service " + Service(i) + " floor=50 # bench");
+    }
+    for (int i = 0; i < FLAGS_workspaces; ++i) {
+      first.added_rules.push_back("workspace " + Workspace(i) +
+                                  " places=north rate=1000000/s burst=1000000 # bench");
+      first.keys.push_back({"k" + std::to_string(i), Sha256(Workspace(i)), Workspace(i), false});
+    }
+    const double before = HeapBytes();
+    region_command command;
+    command.config = config_fetch_reply{std::nullopt, {std::move(first)}};
+    log_.Propose(Encode(command), [](const rpc_result<std::string>&) {});
+    configuration_bytes_ = (HeapBytes() - before) / FLAGS_workspaces;
+  }
+
+  void MeasureUpstreams() {
+    const double before = HeapBytes();
+    Announce();
+    upstream_bytes_ = (HeapBytes() - before) / (FLAGS_services * FLAGS_upstreams);
+  }
+
+  void Announce() {
+    announced_at_ = clock_.Now();
+    for (int i = 0; i < FLAGS_services * FLAGS_upstreams; ++i) {
+      announcement news;
+      news.service = Service(i % FLAGS_services);
+      news.upstream = news.service + "-upstream-" + std::to_string(i);
+      news.incarnation = "0123456789abcdef";
+      news.region = "north";
+      news.data_centre = "a";
+      news.address = "10.0.0.1:" + std::to_string(i);
+      news.slots = 64;
+      core_->Announce(news, [](const rpc_result<empty_message>&) {});
+    }
+  }
+
+  // One request of each workspace, so that all buckets exist.
+  void TouchWorkspaces() {
+    const double before = HeapBytes();
+    for (int i = 0; i < FLAGS_workspaces; ++i) {
+      Pair(Request(0, i), attempt_result::kSuccess);
+    }
+    workspace_bytes_ = (HeapBytes() - before) / FLAGS_workspaces;
+  }
+
+  void KeepRecords() {
+    const double before = HeapBytes();
+    for (int i = 0; i < FLAGS_records; ++i) {
+      acquire_request order = Request(1, i);
+      order.idempotency_key = "0123456789abcdef-" + std::to_string(i);
+      Pair(order, attempt_result::kSuccess);
+      if (i % 10'000 == 0) {
+        Announce();
+      }
+    }
+    record_bytes_ = FLAGS_records == 0 ? 0 : (HeapBytes() - before) / FLAGS_records;
+  }
+
+  QJsonObject Measure() {
+    const double processor = ProcessorSeconds();
+    const auto start = steady_clock::now();
+    std::atomic<bool> is_over = false;
+    // Upstreams announce themselves every second, as in a fleet.
+    std::thread announcer([&] {
+      while (!is_over) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(50));
+        if (clock_.Now() - announced_at_.load() >= std::chrono::seconds(1)) {
+          Announce();
+        }
+      }
+    });
+    std::vector<std::thread> threads;
+    for (int thread = 0; thread < FLAGS_threads; ++thread) {
+      threads.emplace_back([this, thread] {
+        for (int i = 0; i < FLAGS_pairs; ++i) {
+          acquire_request request = Request(2 + thread, i);
+          if (FLAGS_orders) {
+            request.idempotency_key = request.request_id;
+          }
+          Pair(request, attempt_result::kSuccess);
+        }
+      });
+    }
+    for (std::thread& each : threads) {
+      each.join();
+    }
+    const double elapsed = std::chrono::duration<double>(steady_clock::now() - start).count();
+    is_over = true;
+    announcer.join();
+    const double pairs = static_cast<double>(FLAGS_pairs) * FLAGS_threads;
+    return {{"pairs_per_second", pairs / elapsed},
+            {"processor_us_per_pair", (ProcessorSeconds() - processor) * 1e6 / pairs},
+            {"threads", FLAGS_threads},
+            {"refused", static_cast<qint64>(refused_.load())},
+            {"bytes_per_configured_workspace", configuration_bytes_},
+            {"bytes_per_active_workspace", workspace_bytes_},
+            {"bytes_per_upstream", upstream_bytes_},
+            {"bytes_per_record", record_bytes_}};
+  }
+
+ private:
+  static acquire_request Request(int thread, int index) {
+    acquire_request request;
+    request.request_id = std::to_string(thread) + "-" + std::to_string(index);
+    request.entry_vm = "entry-" + std::to_string(index % 40);
+    request.session = "0123456789abcdef";
+    request.workspace = Workspace(index % FLAGS_workspaces);
+    request.key_hash = KeyOf(index % FLAGS_workspaces);
+    request.service = Service(index % FLAGS_services);
+    request.config_version = 1;
+    const std::uint64_t hash = FastHash(request.request_id);
+    std::copy_n(reinterpret_cast<const std::uint8_t*>(&hash), sizeof hash,
+                request.fingerprint.begin());
+    request.is_idempotent = true;
+    request.remaining = std::chrono::seconds(10);
+    return request;
+  }
+
+  static const digest& KeyOf(int workspace) {
+    static const std::vector<digest> keys = [] {
+      std::vector<digest> all;
+      for (int i = 0; i < FLAGS_workspaces; ++i) {
+        all.push_back(Sha256(Workspace(i)));
+      }
+      return all;
+    }();
+    return keys[static_cast<std::size_t>(workspace)];
+  }
+
+  void Pair(const acquire_request& request, attempt_result outcome) {
+    core_->Acquire(request, [&](rpc_result<acquire_reply> reply) {
+      const auto* granted = std::get_if<acquire_reply>(&reply);
+      if (granted == nullptr) {
+        ++refused_;
+        return;
+      }
+      complete_request report;
+      report.request_id = request.request_id;
+      report.entry_vm = request.entry_vm;
+      report.session = request.session;
+      report.lease = granted->lease;
+      report.workspace = request.workspace;
+      report.upstream = granted->upstream;
+      report.incarnation = granted->incarnation;
+      report.outcome = outcome;
+      report.latency = std::chrono::milliseconds(5);
+      report.fingerprint = request.fingerprint;
+      report.idempotency_key = request.idempotency_key;
+      if (!request.idempotency_key.empty()) {
+        report.answer =
+            stored_answer{201, {"Content-Type: application/json"}, std::string(200, 'x'), true};
+      }
+      core_->Complete(std::move(report), [](const rpc_result<empty_message>&) {});
+    });
+  }
+
+  process_clock clock_;
+  region_state state_{"north"};
+  local_log log_{state_};
+  std::shared_ptr<coordinator_core> core_;
+  std::atomic<steady_time> announced_at_{};
+  std::atomic<std::uint64_t> refused_ = 0;
+  double configuration_bytes_ = 0;
+  double workspace_bytes_ = 0;
+  double upstream_bytes_ = 0;
+  double record_bytes_ = 0;
+};
+
+}  // namespace
+}  // namespace corianderhoist
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage("measures the decisions of a coordinator");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  corianderhoist::ConfigureLog("bench", corianderhoist::log_level::kError);
+  corianderhoist::bench bench;
+  bench.MeasureUpstreams();
+  bench.TouchWorkspaces();
+  bench.KeepRecords();
+  std::cout << QJsonDocument(bench.Measure()).toJson().toStdString();
+  return 0;
+}
