Keep short rests of chunked bodies from Beast's parser

Cause: the fuzz target found that Beast 1.81 aborts the process on a body that begins with its last chunk and arrives in pieces: the bytes "0 CR LF" followed by one more byte fail the assertion n >= 5 in parse_chunk_header. Any caller or upstream could end an entry VM that way.

Ruled out: building without assertions, because the function then reads beyond the bytes it has. Every rest of a chunked body has at least five bytes, so both readers wait for five.

--- a/src/experiment/bar_plot.cpp
+++ b/src/experiment/bar_plot.cpp
@@ -64,7 +64,8 @@
 std::string Bars(const bar_plot& plot, double highest) {
   std::string svg;
   const double area = kHeight - kTop - kBottom;
-  const double group_width = (kWidth - kLeft) / double(std::max<std::size_t>(1, plot.groups.size()));
+  const double group_width =
+      (kWidth - kLeft) / double(std::max<std::size_t>(1, plot.groups.size()));
   const double bar_width = group_width * 0.8 / double(std::max<std::size_t>(1, plot.series.size()));
   for (std::size_t g = 0; g < plot.groups.size(); ++g) {
     const double left = kLeft + group_width * (double(g) + 0.1);
@@ -75,8 +76,9 @@
     }
     const double x = left + group_width * 0.4;
     const double y = kTop + area + 14;
-    svg += Text(x, y, plot.groups[g],
-                "text-anchor=\"end\" transform=\"rotate(-35 " + Number(x) + ' ' + Number(y) + ")\"");
+    svg +=
+        Text(x, y, plot.groups[g],
+             "text-anchor=\"end\" transform=\"rotate(-35 " + Number(x) + ' ' + Number(y) + ")\"");
   }
   return svg;
 }
--- a/src/experiment/experiment_run.cpp
+++ b/src/experiment/experiment_run.cpp
@@ -117,8 +117,8 @@
 
   void StartAnnouncements() {
     for (std::size_t i = 0; i < world_.upstreams.size(); ++i) {
-      const auto phase = kAnnounceInterval * static_cast<int>(i) /
-                         static_cast<int>(world_.upstreams.size());
+      const auto phase =
+          kAnnounceInterval * static_cast<int>(i) / static_cast<int>(world_.upstreams.size());
       world_.events.After(phase, [this, i] { Announce(i); });
     }
   }
--- a/src/experiment/experiment_run.h
+++ b/src/experiment/experiment_run.h
@@ -27,11 +27,12 @@
 };
 
 struct run_measure {
-  /// From the start of the fault until half of the entry VMs of its region send the sick upstream no
-  /// work.
+  /// From the start of the fault until half of the entry VMs of its region send the sick upstream
+  /// no work.
   std::optional<std::chrono::milliseconds> detection;
   bool has_sick_upstream = false;
-  std::uint64_t wrong_ejections = 0;   ///< Begun by any VM against an upstream neither sick nor down.
+  std::uint64_t wrong_ejections =
+      0;  ///< Begun by any VM against an upstream neither sick nor down.
   std::uint64_t floor_violations = 0;  ///< Ejections after which a place was below its floor.
   std::uint64_t doubles = 0;           ///< Orders that ran more than once.
   std::uint64_t untrue_refusals = 0;   ///< Refused as not run, but run.
--- a/src/experiment/fleet_policy.cpp
+++ b/src/experiment/fleet_policy.cpp
@@ -128,9 +128,9 @@
       Refuse(subject, error_kind::kCoordinatorUnavailable);
       return;
     }
-    world_.events.After(world_.Link(region_index, VmRegion(request)) +
-                            world_.Link(VmRegion(request), second),
-                        [this, subject, second] { SeekSlot(subject, second); });
+    world_.events.After(
+        world_.Link(region_index, VmRegion(request)) + world_.Link(VmRegion(request), second),
+        [this, subject, second] { SeekSlot(subject, second); });
     return;
   }
   slot_request wanted;
@@ -157,9 +157,8 @@
 }
 
 std::size_t fleet_policy::IndexOf(const std::string& upstream) const {
-  const auto found =
-      std::find_if(world_.upstreams.begin(), world_.upstreams.end(),
-                   [&](const sim_upstream& each) { return each.name == upstream; });
+  const auto found = std::find_if(world_.upstreams.begin(), world_.upstreams.end(),
+                                  [&](const sim_upstream& each) { return each.name == upstream; });
   return static_cast<std::size_t>(found - world_.upstreams.begin());
 }
 
@@ -209,10 +208,9 @@
     });
     return;
   }
-  world_.events.After(world_.Link(VmRegion(request), place),
-                      [this, request, decision, outcome, latency] {
-                        Report(request, decision, outcome, latency);
-                      });
+  world_.events.After(
+      world_.Link(VmRegion(request), place),
+      [this, request, decision, outcome, latency] { Report(request, decision, outcome, latency); });
 }
 
 void fleet_policy::Report(const sim_request& request,
@@ -279,7 +277,8 @@
   for (int i = 0; i < kSimRegions; ++i) {
     region& each = regions_[static_cast<std::size_t>(i)];
     board_effects effects;
-    each.board.Tick(now, [](const std::string&) { return true; }, effects);
+    each.board.Tick(
+        now, [](const std::string&) { return true; }, effects);
     CarryOut(effects);
     if (may_raise) {
       raised_at_ = now;
--- a/src/experiment/rate_comparison.cpp
+++ b/src/experiment/rate_comparison.cpp
@@ -299,8 +299,8 @@
 std::vector<rate_measure> CompareRates(std::uint32_t seed) {
   std::vector<rate_measure> measures;
   for (const int entry_vms : {32, 44}) {
-    for (const rate_scheme scheme : {rate_scheme::kFixedShares, rate_scheme::kGrantsByDemand,
-                                     rate_scheme::kAskTheOwner}) {
+    for (const rate_scheme scheme :
+         {rate_scheme::kFixedShares, rate_scheme::kGrantsByDemand, rate_scheme::kAskTheOwner}) {
       measures.push_back(CompareRate(scheme, entry_vms, seed));
     }
   }
--- a/src/experiment/rate_comparison.h
+++ b/src/experiment/rate_comparison.h
@@ -25,8 +25,8 @@
   double messages_per_request = 0;  ///< Between VMs and owners; a call and its answer count two.
 };
 
-/// 8 workspaces of which 2 are large, 60 s, each sending 80 % of its rate over a few connections per
-/// VM that are spread at random. The owner's side is the coordinator's `rate_bucket`.
+/// 8 workspaces of which 2 are large, 60 s, each sending 80 % of its rate over a few connections
+/// per VM that are spread at random. The owner's side is the coordinator's `rate_bucket`.
 rate_measure CompareRate(rate_scheme scheme, int entry_vms, std::uint32_t seed);
 
 /// All schemes over 32 and 44 entry VMs.
--- a/src/experiment/report.cpp
+++ b/src/experiment/report.cpp
@@ -50,7 +50,8 @@
 
 std::string ScenarioTable(const experiment_report& report) {
   std::string text =
-      "| scenario | policy | detection | wrong ejections | worst-served workspace | wrongful refusals "
+      "| scenario | policy | detection | wrong ejections | worst-served workspace | wrongful "
+      "refusals "
       "| p99 | floor violations | doubles | untrue refusals | crashed upstreams |\n"
       "|---|---|---|---|---|---|---|---|---|---|---|\n";
   for (const scenario_summary& each : report.scenarios) {
@@ -66,7 +67,8 @@
 
 std::string RateTable(const experiment_report& report) {
   std::string text =
-      "| entry VMs | scheme | refused within rate | of the worst workspace | windows over the bound | "
+      "| entry VMs | scheme | refused within rate | of the worst workspace | windows over the "
+      "bound | "
       "messages per request |\n|---|---|---|---|---|---|\n";
   for (const rate_measure& each : report.rates) {
     text += "| " + std::to_string(each.entry_vms) + " | " + SchemeName(each.scheme) + " | " +
@@ -79,7 +81,8 @@
 
 std::string QueueTable(const experiment_report& report) {
   std::string text =
-      "| load of the large workspace | order | worst quiet workspace served in 1 s | large workspace "
+      "| load of the large workspace | order | worst quiet workspace served in 1 s | large "
+      "workspace "
       "served in 1 s | p99 wait of quiet ones |\n|---|---|---|---|---|\n";
   for (const queue_measure& each : report.queues) {
     text += "| " + each.load + " | " + OrderName(each.order) + " | " + Percent(each.worst_served) +
@@ -118,8 +121,8 @@
       where += each.wrong_ejections > 0 ? " " + each.scenario : "";
     }
   }
-  return {"no wrong ejection in scenarios without a sick upstream",
-          std::to_string(count) + where, count == 0};
+  return {"no wrong ejection in scenarios without a sick upstream", std::to_string(count) + where,
+          count == 0};
 }
 
 target_check CheckRefusals(const experiment_report& report) {
--- a/src/experiment/scenario.cpp
+++ b/src/experiment/scenario.cpp
@@ -17,20 +17,22 @@
     "shedding", "bad_link", "region_cut", "noisy",      "crash_request"};
 
 milliseconds ReadTime(settings_reader& reader, std::string_view key, milliseconds fallback) {
-  return duration_cast<milliseconds>(
-      reader.Duration(key, milliseconds(0), hours(1), fallback));
+  return duration_cast<milliseconds>(reader.Duration(key, milliseconds(0), hours(1), fallback));
 }
 
-int ReadInteger(settings_reader& reader, std::string_view key, int lowest, int highest, int fallback) {
+int ReadInteger(settings_reader& reader,
+                std::string_view key,
+                int lowest,
+                int highest,
+                int fallback) {
   return static_cast<int>(reader.Integer(key, lowest, highest, fallback));
 }
 
 scenario_fault ReadFault(settings_reader& reader) {
   scenario_fault fault;
-  const std::string kind =
-      reader.Word("kind", {kKindNames[0], kKindNames[1], kKindNames[2], kKindNames[3],
-                           kKindNames[4], kKindNames[5], kKindNames[6], kKindNames[7],
-                           kKindNames[8], kKindNames[9]});
+  const std::string kind = reader.Word(
+      "kind", {kKindNames[0], kKindNames[1], kKindNames[2], kKindNames[3], kKindNames[4],
+               kKindNames[5], kKindNames[6], kKindNames[7], kKindNames[8], kKindNames[9]});
   for (std::size_t i = 0; i < kKindNames.size(); ++i) {
     if (kKindNames[i] == kind) {
       fault.kind = static_cast<fault_kind>(i);
--- a/src/experiment/sim_service.cpp
+++ b/src/experiment/sim_service.cpp
@@ -41,8 +41,7 @@
     return;
   }
   // The entry VM gives up at the deadline; the upstream honours the end of the connection.
-  const auto left =
-      std::max<nanoseconds>(request.deadline - world_.events.Now(), nanoseconds(0));
+  const auto left = std::max<nanoseconds>(request.deadline - world_.events.Now(), nanoseconds(0));
   End(running, attempt_result::kTimeout, left);
   world_.events.After(left + world_.Link(vm_region, place),
                       [this, upstream, running] { Free(upstream, running); });
--- a/src/experiment/sim_service.h
+++ b/src/experiment/sim_service.h
@@ -3,8 +3,8 @@
 
 #include "experiment/sim_world.h"
 
-#include <cstdint>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <random>
--- a/src/experiment/vm_policy.cpp
+++ b/src/experiment/vm_policy.cpp
@@ -34,8 +34,8 @@
 double vm_policy::ShareOf(std::size_t vm, std::size_t workspace) const {
   const sim_workspace& subject = world_.workspaces[workspace];
   const int home = subject.regions.front();
-  const auto at_home = static_cast<double>(
-      std::count(world_.vm_regions.begin(), world_.vm_regions.end(), home));
+  const auto at_home =
+      static_cast<double>(std::count(world_.vm_regions.begin(), world_.vm_regions.end(), home));
   const double elsewhere = static_cast<double>(world_.vm_regions.size()) - at_home;
   return world_.vm_regions[vm] == home ? subject.local_share / at_home
                                        : (1 - subject.local_share) / elsewhere;
@@ -63,10 +63,10 @@
                          int region) const {
   const known_upstream& known = known_[upstream];
   const steady_time now = world_.events.Now();
-  const bool is_ready = known.last.state == upstream_state::kReady && !known.last.upstream.empty() &&
-                        now - known.seen < kUpstreamFreshness;
-  const bool is_avoided = std::find(request.avoid.begin(), request.avoid.end(), upstream) !=
-                          request.avoid.end();
+  const bool is_ready = known.last.state == upstream_state::kReady &&
+                        !known.last.upstream.empty() && now - known.seen < kUpstreamFreshness;
+  const bool is_avoided =
+      std::find(request.avoid.begin(), request.avoid.end(), upstream) != request.avoid.end();
   return is_ready && !is_avoided && world_.upstreams[upstream].region == region &&
          vm.upstreams[upstream].ejected_until <= now &&
          !(options_.reads_load && known.load >= kFullLoad);
--- a/src/experiment/vm_policy.h
+++ b/src/experiment/vm_policy.h
@@ -60,7 +60,10 @@
 
   double ShareOf(std::size_t vm, std::size_t workspace) const;
   bool TakeToken(std::size_t vm, std::size_t workspace);
-  bool IsUsable(const vm_state& vm, const sim_request& request, std::size_t upstream, int region) const;
+  bool IsUsable(const vm_state& vm,
+                const sim_request& request,
+                std::size_t upstream,
+                int region) const;
   sim_decision Choose(const sim_request& request);
   void Eject(std::size_t vm, std::size_t upstream);
 
--- a/src/http/answer_reader.cpp
+++ b/src/http/answer_reader.cpp
@@ -107,7 +107,8 @@
 result<bool> answer_reader::ReadBody(std::string& buffer) {
   auto& beast = parser_->beast;
   std::array<char, kBlockBytes> block;
-  while (!beast.is_done() && !buffer.empty()) {
+  const std::size_t least = beast.chunked() ? kShortestChunkedRest : 1;
+  while (!beast.is_done() && buffer.size() >= least) {
     auto& body = beast.get().body();
     body.data = block.data();
     body.size = block.size();
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -1,6 +1,7 @@
 /// HTTP messages as the proxy handles them, and helpers for their header fields.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -57,6 +58,11 @@
 /// Returns an identifier that is unique in the fleet and reveals nothing of its request.
 std::string NewRequestId();
 
+/// Beast 1.81 aborts the process (assertion `n >= 5` in `parse_chunk_header`) when a body begins
+/// with its last chunk and arrives in pieces of which one ends within it. Every rest of a chunked
+/// body has at least this many bytes, so a parser can wait for them.
+inline constexpr std::size_t kShortestChunkedRest = 5;
+
 /// Returns the standard reason phrase of a status.
 std::string_view ReasonPhrase(int status);
 
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -102,7 +102,8 @@
 
 result<request_reader::progress> request_reader::ReadBody(std::string& buffer) {
   auto& beast = parser_->beast;
-  while (!beast.is_done() && !buffer.empty()) {
+  const std::size_t least = beast.chunked() ? kShortestChunkedRest : 1;
+  while (!beast.is_done() && buffer.size() >= least) {
     boost::system::error_code code;
     const std::size_t used = beast.put(boost::asio::buffer(buffer.data(), buffer.size()), code);
     buffer.erase(0, used);
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -63,68 +63,71 @@
 }
 
 // Guards against entry VMs that serve a workspace outside its places or hand its key on.
-const test_table kServing("fleet", "either_entry_vm_serves_in_the_allowed_place_without_the_key", [] {
-  fleet_plan plan = SmallPlan();
-  plan.entries = 2;
-  served_fleet served(plan);
-  for (const std::string& entry : served.all.Names("entry-centre-")) {
-    fleet_caller caller(served.all, entry);
-    const http_reply aprons = caller.Read(served.Key("aprons"), "/catalogue/1");
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(aprons.body, 200, aprons.status);
-    CPPUNIT_ASSERT_EQUAL(std::string("centre"), fleet_caller::PlaceOf(aprons).substr(0, 6));
-    const http_reply twine =
-        caller.Order(served.Key("twine"), "/orders", "order-" + entry, "{\"item\":1}");
-    CPPUNIT_ASSERT_EQUAL_MESSAGE(twine.body, 200, twine.status);
-    CPPUNIT_ASSERT_EQUAL(std::string("east"), fleet_caller::PlaceOf(twine).substr(0, 4));
-    CPPUNIT_ASSERT_EQUAL(1, served.all.Executions("order-" + entry));
-  }
-  for (const std::string& upstream : served.all.Names("upstream-")) {
-    const http_reply headers =
-        CallOnce(served.all.Upstream(upstream), {"GET", "/_test/headers", {}, {}}, kCallTimeout);
-    CPPUNIT_ASSERT_EQUAL(200, headers.status);
-    for (const auto& [workspace, key] : served.keys) {
-      CPPUNIT_ASSERT(headers.body.find(key.text) == std::string::npos);
-    }
-  }
-});
+const test_table
+    kServing("fleet", "either_entry_vm_serves_in_the_allowed_place_without_the_key", [] {
+      fleet_plan plan = SmallPlan();
+      plan.entries = 2;
+      served_fleet served(plan);
+      for (const std::string& entry : served.all.Names("entry-centre-")) {
+        fleet_caller caller(served.all, entry);
+        const http_reply aprons = caller.Read(served.Key("aprons"), "/catalogue/1");
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(aprons.body, 200, aprons.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("centre"), fleet_caller::PlaceOf(aprons).substr(0, 6));
+        const http_reply twine =
+            caller.Order(served.Key("twine"), "/orders", "order-" + entry, "{\"item\":1}");
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(twine.body, 200, twine.status);
+        CPPUNIT_ASSERT_EQUAL(std::string("east"), fleet_caller::PlaceOf(twine).substr(0, 4));
+        CPPUNIT_ASSERT_EQUAL(1, served.all.Executions("order-" + entry));
+      }
+      for (const std::string& upstream : served.all.Names("upstream-")) {
+        const http_reply headers = CallOnce(served.all.Upstream(upstream),
+                                            {"GET", "/_test/headers", {}, {}}, kCallTimeout);
+        CPPUNIT_ASSERT_EQUAL(200, headers.status);
+        for (const auto& [workspace, key] : served.keys) {
+          CPPUNIT_ASSERT(headers.body.find(key.text) == std::string::npos);
+        }
+      }
+    });
 
 // Guards against entry VMs that trust their copy of the keys: the cut-off one has seen nothing.
-const test_table kWithdrawnKey("fleet", "withdrawn_key_stops_also_at_an_entry_vm_that_is_cut_off", [] {
-  fleet_plan plan = SmallPlan();
-  plan.entries = 2;
-  plan.is_proxied = [](const std::string& from, const std::string&) {
-    return from == "entry-centre-2";
-  };
-  served_fleet served(plan);
-  fleet_caller near(served.all, "entry-centre-1");
-  fleet_caller cut(served.all, "entry-centre-2");
-  served.all.ForLinksOf("entry-centre-2", [](fault_proxy& link) { link.Cut(); });
-  const program_output output = served.all.WithdrawKey(served.keys["aprons"].id);
-  CPPUNIT_ASSERT_EQUAL_MESSAGE(output.output + output.errors, 0, output.exit_code);
-  AssertRefusedNotRun(near.Read(served.Key("aprons"), "/catalogue/withdrawn"), 401);
-  AssertRefusedNotRun(cut.Read(served.Key("aprons"), "/catalogue/withdrawn"), 503);
-  served.all.ForLinksOf("entry-centre-2", [](fault_proxy& link) { link.Heal(); });
-  CPPUNIT_ASSERT(WaitUntil([&] {
-    const http_reply reply = cut.Read(served.Key("aprons"), "/catalogue/withdrawn");
-    CPPUNIT_ASSERT(reply.status != 200);
-    return reply.status == 401;
-  }));
-  for (const std::string& upstream : served.all.Names("upstream-")) {
-    const QJsonObject seen = fleet::Get(served.all.Upstream(upstream), "/_test/executions");
-    CPPUNIT_ASSERT(!seen["paths"].toObject().contains("/catalogue/withdrawn"));
-  }
-});
+const test_table
+    kWithdrawnKey("fleet", "withdrawn_key_stops_also_at_an_entry_vm_that_is_cut_off", [] {
+      fleet_plan plan = SmallPlan();
+      plan.entries = 2;
+      plan.is_proxied = [](const std::string& from, const std::string&) {
+        return from == "entry-centre-2";
+      };
+      served_fleet served(plan);
+      fleet_caller near(served.all, "entry-centre-1");
+      fleet_caller cut(served.all, "entry-centre-2");
+      served.all.ForLinksOf("entry-centre-2", [](fault_proxy& link) { link.Cut(); });
+      const program_output output = served.all.WithdrawKey(served.keys["aprons"].id);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(output.output + output.errors, 0, output.exit_code);
+      AssertRefusedNotRun(near.Read(served.Key("aprons"), "/catalogue/withdrawn"), 401);
+      AssertRefusedNotRun(cut.Read(served.Key("aprons"), "/catalogue/withdrawn"), 503);
+      served.all.ForLinksOf("entry-centre-2", [](fault_proxy& link) { link.Heal(); });
+      CPPUNIT_ASSERT(WaitUntil([&] {
+        const http_reply reply = cut.Read(served.Key("aprons"), "/catalogue/withdrawn");
+        CPPUNIT_ASSERT(reply.status != 200);
+        return reply.status == 401;
+      }));
+      for (const std::string& upstream : served.all.Names("upstream-")) {
+        const QJsonObject seen = fleet::Get(served.all.Upstream(upstream), "/_test/executions");
+        CPPUNIT_ASSERT(!seen["paths"].toObject().contains("/catalogue/withdrawn"));
+      }
+    });
 
 // Guards against a fallback to another region when the allowed places have no upstream.
-const test_table kNoUpstream("fleet", "workspace_without_upstream_in_its_places_is_never_served", [] {
-  served_fleet served(SmallPlan());
-  for (const std::string& entry : served.all.Names("entry-")) {
-    fleet_caller caller(served.all, entry);
-    AssertRefusedNotRun(caller.Read(served.Key("kiln"), "/catalogue/kiln"), 503);
-    AssertRefusedNotRun(caller.Order(served.Key("kiln"), "/orders", "kiln-order", "{}"), 503);
-  }
-  CPPUNIT_ASSERT_EQUAL(0, served.all.Executions("kiln-order"));
-});
+const test_table
+    kNoUpstream("fleet", "workspace_without_upstream_in_its_places_is_never_served", [] {
+      served_fleet served(SmallPlan());
+      for (const std::string& entry : served.all.Names("entry-")) {
+        fleet_caller caller(served.all, entry);
+        AssertRefusedNotRun(caller.Read(served.Key("kiln"), "/catalogue/kiln"), 503);
+        AssertRefusedNotRun(caller.Order(served.Key("kiln"), "/orders", "kiln-order", "{}"), 503);
+      }
+      CPPUNIT_ASSERT_EQUAL(0, served.all.Executions("kiln-order"));
+    });
 
 // Guards against entry VMs or coordinators that keep sending to an upstream that announced its end.
 const test_table kLeaving("fleet", "leaving_upstream_gets_nothing_new_after_3_s", [] {
@@ -208,29 +211,30 @@
 });
 
 // Guards against state that lives in memory only: a power cut takes a whole region.
-const test_table kRegionKilled("fleet", "region_killed_and_restarted_keeps_orders_and_withdrawals", [] {
-  served_fleet served(SmallPlan());
-  fleet_caller caller(served.all, "entry-centre-1");
-  const http_reply first = caller.Order(served.Key("aprons"), "/orders", "kept-order", "{}");
-  CPPUNIT_ASSERT_EQUAL_MESSAGE(first.body, 200, first.status);
-  const fleet::workspace_key second_key = served.all.GiveKey("aprons");
-  CPPUNIT_ASSERT_EQUAL(0, served.all.WithdrawKey(second_key.id).exit_code);
-  for (const std::string& name : served.all.NamesOfRegion("centre")) {
-    served.all.Process(name).SendSignal(SIGKILL);
-  }
-  for (const std::string& name : served.all.NamesOfRegion("centre")) {
-    served.all.Process(name).WaitForEnd();
-    served.all.Start(name);
-  }
-  served.AwaitServed("entry-centre-1");
-  fleet_caller again(served.all, "entry-centre-1");
-  const http_reply resent = again.Order(served.Key("aprons"), "/orders", "kept-order", "{}");
-  CPPUNIT_ASSERT_EQUAL_MESSAGE(resent.body, 200, resent.status);
-  CPPUNIT_ASSERT_EQUAL(std::string("true"), resent.Header("corianderhoist-replayed"));
-  CPPUNIT_ASSERT_EQUAL(first.body, resent.body);
-  CPPUNIT_ASSERT_EQUAL(0, served.all.Executions("kept-order"));  // The upstreams are new ones.
-  AssertRefusedNotRun(again.Read(second_key.text, "/catalogue/1"), 401);
-});
+const test_table
+    kRegionKilled("fleet", "region_killed_and_restarted_keeps_orders_and_withdrawals", [] {
+      served_fleet served(SmallPlan());
+      fleet_caller caller(served.all, "entry-centre-1");
+      const http_reply first = caller.Order(served.Key("aprons"), "/orders", "kept-order", "{}");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(first.body, 200, first.status);
+      const fleet::workspace_key second_key = served.all.GiveKey("aprons");
+      CPPUNIT_ASSERT_EQUAL(0, served.all.WithdrawKey(second_key.id).exit_code);
+      for (const std::string& name : served.all.NamesOfRegion("centre")) {
+        served.all.Process(name).SendSignal(SIGKILL);
+      }
+      for (const std::string& name : served.all.NamesOfRegion("centre")) {
+        served.all.Process(name).WaitForEnd();
+        served.all.Start(name);
+      }
+      served.AwaitServed("entry-centre-1");
+      fleet_caller again(served.all, "entry-centre-1");
+      const http_reply resent = again.Order(served.Key("aprons"), "/orders", "kept-order", "{}");
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(resent.body, 200, resent.status);
+      CPPUNIT_ASSERT_EQUAL(std::string("true"), resent.Header("corianderhoist-replayed"));
+      CPPUNIT_ASSERT_EQUAL(first.body, resent.body);
+      CPPUNIT_ASSERT_EQUAL(0, served.all.Executions("kept-order"));  // The upstreams are new ones.
+      AssertRefusedNotRun(again.Read(second_key.text, "/catalogue/1"), 401);
+    });
 
 // Guards against a region that stops, or serves what it must not, when it is cut from the others.
 const test_table kRegionCut("fleet", "cut_region_serves_its_own_workspaces_and_refuses_others", [] {
--- a/tests/support/demo_main.cpp
+++ b/tests/support/demo_main.cpp
@@ -33,7 +33,10 @@
 
 // Where the rules allow each workspace to be served, in the words of the answers' places.
 const std::map<std::string, std::set<std::string>> kAllowedRegions = {
-    {"aprons", {"centre"}}, {"shelving", {"west", "east"}}, {"twine", {"east"}}, {"kiln", {}}};
+    {"aprons", {"centre"}},
+    {"shelving", {"west", "east"}},
+    {"twine", {"east"}},
+    {"kiln", {}}};
 
 class demonstration {
  public:
@@ -134,8 +137,8 @@
   void CheckKeysUnseen() {
     bool is_seen = false;
     for (const std::string& upstream : fleet_.Names("upstream-")) {
-      const http_reply headers = CallOnce(fleet_.Upstream(upstream),
-                                          {"GET", "/_test/headers", {}, {}}, kCallTimeout);
+      const http_reply headers =
+          CallOnce(fleet_.Upstream(upstream), {"GET", "/_test/headers", {}, {}}, kCallTimeout);
       is_seen |= headers.status != 200;
       for (const auto& [workspace, key] : keys_) {
         is_seen |= headers.body.find(key.text) != std::string::npos;
--- a/tests/support/order_stream.cpp
+++ b/tests/support/order_stream.cpp
@@ -51,14 +51,13 @@
 order_stream::order_end order_stream::SendOne(const std::string& order, std::size_t first_entry) {
   bool may_have_run = false;
   for (std::size_t i = 0; i < kMostSends && !(is_stopping_ && i > 0); ++i) {
-    const http_reply reply = CallOnce(entries_[(first_entry + i) % entries_.size()],
-                                      {"POST",
-                                       "/orders",
-                                       {{"Corianderhoist-Key", key_},
-                                        {"Idempotency-Key", order},
-                                        {"X-Order", order}},
-                                       "{\"item\":1}"},
-                                      kAnswerTimeout);
+    const http_reply reply =
+        CallOnce(entries_[(first_entry + i) % entries_.size()],
+                 {"POST",
+                  "/orders",
+                  {{"Corianderhoist-Key", key_}, {"Idempotency-Key", order}, {"X-Order", order}},
+                  "{\"item\":1}"},
+                 kAnswerTimeout);
     if (reply.status == 200) {
       return order_end::kAnswered;
     }
--- a/tests/unit/http/fuzz_corpus_test.cpp
+++ b/tests/unit/http/fuzz_corpus_test.cpp
@@ -28,15 +28,17 @@
   return {std::istreambuf_iterator<char>(file), {}};
 }
 
-const test_table kRequests(
-    "fuzz request",
-    Corpus("request"),
-    std::function([](const corpus_file& file) { CheckRequestBytes(Read(file.path)); }));
-
-const test_table kAnswers(
-    "fuzz answer",
-    Corpus("answer"),
-    std::function([](const corpus_file& file) { CheckAnswerBytes(Read(file.path)); }));
+const test_table kRequests("fuzz request",
+                           Corpus("request"),
+                           std::function([](const corpus_file& file) {
+                             CheckRequestBytes(Read(file.path));
+                           }));
+
+const test_table kAnswers("fuzz answer",
+                          Corpus("answer"),
+                          std::function([](const corpus_file& file) {
+                            CheckAnswerBytes(Read(file.path));
+                          }));
 
 }  // namespace
 }  // namespace corianderhoist
--- a/tests/unit/http/request_reader_test.cpp
+++ b/tests/unit/http/request_reader_test.cpp
@@ -1,7 +1,7 @@
 // Requests as raw bytes: what an upstream could read in another way than the proxy is refused, and
 // what is accepted is read the same however the bytes are split.
-#include "http/request_checks.h"
 #include "http/request_reader.h"
+#include "http/request_checks.h"
 #include "support/test_table.h"
 
 namespace corianderhoist {
@@ -60,7 +60,8 @@
     std::vector<refused_case>{
         {"length and coding", Post("Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
                                    "0\r\n\r\nGET /x HTTP/1.1\r\n\r\n")},
-        {"coding and length", Post("Transfer-Encoding: chunked\r\nContent-Length: 4\r\n", "0\r\n\r\n")},
+        {"coding and length",
+         Post("Transfer-Encoding: chunked\r\nContent-Length: 4\r\n", "0\r\n\r\n")},
         {"length twice", Post("Content-Length: 4\r\nContent-Length: 5\r\n", "abcde")},
         {"same length twice", Post("Content-Length: 4\r\nContent-Length: 4\r\n", "abcd")},
         {"length list", Post("Content-Length: 4, 4\r\n", "abcd")},
@@ -71,9 +72,11 @@
         {"huge length", Post("Content-Length: 99999999999999999999\r\n", "abcd")},
         {"coding list", Post("Transfer-Encoding: gzip, chunked\r\n", "0\r\n\r\n")},
         {"unknown coding", Post("Transfer-Encoding: xchunked\r\n", "0\r\n\r\n")},
-        {"coding twice", Post("Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
-                              "0\r\n\r\n")},
-        {"coding with vertical tab", Post("Transfer-Encoding: \x0b" "chunked\r\n", "0\r\n\r\n")},
+        {"coding twice",
+         Post("Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n", "0\r\n\r\n")},
+        {"coding with vertical tab", Post("Transfer-Encoding: \x0b"
+                                          "chunked\r\n",
+                                          "0\r\n\r\n")},
         {"chunk size not hexadecimal", Post("Transfer-Encoding: chunked\r\n", "zz\r\nab\r\n")},
         {"chunk size with sign", Post("Transfer-Encoding: chunked\r\n", "-1\r\nab\r\n0\r\n\r\n")},
         {"chunk size too large",
@@ -141,26 +144,28 @@
         {"large header", Get("/a", "X: " + std::string(3000, 'x') + "\r\n"), "header_too_large"},
         {"endless header", "GET /" + std::string(9000, 'x'), "header_too_large"},
         {"many headers",
-         Get("/a", [] {
-           std::string lines;
-           for (int i = 0; i < 150; ++i) {
-             lines += "X:y\r\n";
-           }
-           return lines;
-         }()),
+         Get("/a",
+             [] {
+               std::string lines;
+               for (int i = 0; i < 150; ++i) {
+                 lines += "X:y\r\n";
+               }
+               return lines;
+             }()),
          "header_too_large"},
         {"large body", Post("Content-Length: 1001\r\n", "a"), "body_too_large"},
         {"large chunked body",
          Post("Transfer-Encoding: chunked\r\n", "400\r\n" + std::string(1024, 'x')),
          "body_too_large"},
-        {"endless chunked body", Post("Transfer-Encoding: chunked\r\n",
-                                      [] {
-                                        std::string chunks;
-                                        for (int i = 0; i < 3000; ++i) {
-                                          chunks += "1\r\nx\r\n";
-                                        }
-                                        return chunks;
-                                      }()),
+        {"endless chunked body",
+         Post("Transfer-Encoding: chunked\r\n",
+              [] {
+                std::string chunks;
+                for (int i = 0; i < 3000; ++i) {
+                  chunks += "1\r\nx\r\n";
+                }
+                return chunks;
+              }()),
          "body_too_large"},
     },
     std::function([](const refused_case& row) {
@@ -188,11 +193,13 @@
         {"three dots", Get("/.../a"), "/.../a", "", ""},
         {"body", Post("Content-Length: 3\r\n", "abc"), "/a", "abc", ""},
         {"no body", Post("Content-Length: 0\r\n", ""), "/a", "", ""},
-        {"chunks", Post("Transfer-Encoding: chunked\r\n", "2\r\nab\r\n1;x=y\r\nc\r\n0\r\n\r\n"), "/a",
-         "abc", ""},
+        {"chunks", Post("Transfer-Encoding: chunked\r\n", "2\r\nab\r\n1;x=y\r\nc\r\n0\r\n\r\n"),
+         "/a", "abc", ""},
+        // Beast's parser aborts on this one when it arrives byte by byte.
+        {"last chunk only", Post("Transfer-Encoding: chunked\r\n", "0\r\n\r\n"), "/a", "", ""},
         {"trailer that claims a key",
-         Post("Transfer-Encoding: chunked\r\n", "1\r\na\r\n0\r\nCorianderhoist-Key: k\r\n\r\n"), "/a",
-         "a", ""},
+         Post("Transfer-Encoding: chunked\r\n", "1\r\na\r\n0\r\nCorianderhoist-Key: k\r\n\r\n"),
+         "/a", "a", ""},
         {"following request", Get("/a") + Get("/b"), "/a", "", Get("/b")},
         {"body and following request", Post("Content-Length: 1\r\n", "x") + Get("/b"), "/a", "x",
          Get("/b")},
@@ -230,10 +237,12 @@
     return Fail(error_kind::kKeyMissing, "no key");
   };
   std::string buffer = Post("Content-Length: 900\r\nExpect: 100-continue\r\n", "");
-  const auto name = Recover([&]() -> result<std::string_view> {
-    BOOST_LEAF_CHECK(reader.Read(buffer));
-    return std::string_view();
-  }, [](const error& failure) { return AnswerFor(failure.kind).name; });
+  const auto name = Recover(
+      [&]() -> result<std::string_view> {
+        BOOST_LEAF_CHECK(reader.Read(buffer));
+        return std::string_view();
+      },
+      [](const error& failure) { return AnswerFor(failure.kind).name; });
   CPPUNIT_ASSERT_EQUAL(std::string("key_missing"), std::string(name));
   CPPUNIT_ASSERT(!reader.TakeExpectation());
 });
--- a/tools/experiment_main.cpp
+++ b/tools/experiment_main.cpp
@@ -72,7 +72,8 @@
   std::vector<cell> cells;
   for (const scenario& each : scenarios) {
     for (const policy_kind policy : kPolicies) {
-      cells.push_back({each, policy, std::vector<run_measure>(static_cast<std::size_t>(FLAGS_runs))});
+      cells.push_back(
+          {each, policy, std::vector<run_measure>(static_cast<std::size_t>(FLAGS_runs))});
     }
   }
   return cells;
