--- a/src/http/caller_server.cpp
+++ b/src/http/caller_server.cpp
@@ -1,7 +1,7 @@
 #include "http/caller_server.h"
 
-#include <QHostAddress>
-#include <QTcpServer>
+#include "wire/tcp_acceptor.h"
+
 #include <QTimer>
 
 #include <cassert>
@@ -12,16 +12,6 @@
 
 // Granularity of the time limits of connections.
 constexpr std::chrono::milliseconds kSweepInterval(100);
-constexpr int kBacklog = 1024;
-
-// Hands raw descriptors to the caller, so that each socket is created on its own thread.
-class descriptor_server final : public QTcpServer {
- public:
-  std::function<void(qintptr)> on_descriptor;
-
- protected:
-  void incomingConnection(qintptr descriptor) override { on_descriptor(descriptor); }
-};
 
 struct worker {
   io_loop* loop = nullptr;
@@ -57,9 +47,8 @@
   caller_context context;
   handler on_request;
   std::vector<std::unique_ptr<worker>> workers;
-  std::unique_ptr<io_loop> accept_loop;
-  std::unique_ptr<descriptor_server> listener;
   std::size_t next_worker = 0;
+  tcp_acceptor acceptor{[this](qintptr descriptor) { Accept(descriptor); }};
 
   void Accept(qintptr descriptor) {
     const std::size_t index = next_worker++ % workers.size();
@@ -95,10 +84,7 @@
 }
 
 caller_server::~caller_server() {
-  if (state_->accept_loop) {
-    state_->accept_loop->RunAndWait([this] { state_->listener.reset(); });
-    state_->accept_loop.reset();
-  }
+  state_->acceptor.Close();
   for (const auto& each : state_->workers) {
     // Two turns: tasks posted by ending connections refer to the worker.
     each->loop->RunAndWait([&each] {
@@ -110,29 +96,12 @@
 }
 
 void caller_server::SetHeadCheck(std::function<result<void>(const http_request&)> check) {
-  assert(!state_->listener && "the check must be set before listening");
+  assert(!state_->acceptor.IsListening() && "the check must be set before listening");
   state_->context.on_head = std::move(check);
 }
 
 result<std::uint16_t> caller_server::Listen(const endpoint& address) {
-  state_->accept_loop = std::make_unique<io_loop>("accept");
-  std::uint16_t port = 0;
-  std::string cause;
-  state_->accept_loop->RunAndWait([&] {
-    state_->listener = std::make_unique<descriptor_server>();
-    state_->listener->setListenBacklogSize(kBacklog);
-    state_->listener->on_descriptor = [this](qintptr descriptor) { state_->Accept(descriptor); };
-    if (state_->listener->listen(QHostAddress(QString::fromStdString(address.ip)), address.port)) {
-      port = state_->listener->serverPort();
-    } else {
-      cause = state_->listener->errorString().toStdString();
-    }
-  });
-  if (port == 0) {
-    return Fail(error_kind::kUnreachable,
-                "cannot listen on " + FormatEndpoint(address) + ": " + cause);
-  }
-  return port;
+  return state_->acceptor.Listen(address);
 }
 
 void caller_server::AskCallersToLeave() {
@@ -140,9 +109,7 @@
 }
 
 void caller_server::StopAccepting() {
-  if (state_->accept_loop) {
-    state_->accept_loop->RunAndWait([this] { state_->listener.reset(); });
-  }
+  state_->acceptor.Close();
   for (const auto& each : state_->workers) {
     each->loop->RunAndWait(
         [&each] { each->ForEach([](caller_connection& c) { c.CloseIfIdle(); }); });
--- a/src/wire/rpc_server.cpp
+++ b/src/wire/rpc_server.cpp
@@ -1,10 +1,10 @@
 #include "base/log.h"
 #include "wire/http2_session.h"
 #include "wire/rpc.h"
+#include "wire/tcp_acceptor.h"
 
 #include <QHostAddress>
 #include <QSslError>
-#include <QTcpServer>
 
 #include <cassert>
 
@@ -22,15 +22,6 @@
 };
 using method_table = std::map<std::string, method_entry, std::less<>>;
 
-// Hands raw descriptors to the caller, so that each socket is created on its own thread.
-class descriptor_server final : public QTcpServer {
- public:
-  std::function<void(qintptr)> on_descriptor;
-
- protected:
-  void incomingConnection(qintptr descriptor) override { on_descriptor(descriptor); }
-};
-
 // One accepted connection; lives on the thread of `loop`.
 class server_connection : public std::enable_shared_from_this<server_connection> {
  public:
@@ -147,10 +138,9 @@
 struct rpc_server::state {
   std::shared_ptr<tls_identity> identity;
   method_table methods;
-  std::unique_ptr<descriptor_server> listener;
-  std::unique_ptr<io_loop> accept_loop;
   std::vector<std::unique_ptr<worker>> workers;
   std::size_t next_worker = 0;
+  tcp_acceptor acceptor{[this](qintptr descriptor) { Accept(descriptor); }};
 
   void Accept(qintptr descriptor) {
     worker& chosen = *workers[next_worker++ % workers.size()];
@@ -178,35 +168,16 @@
 }
 
 void rpc_server::Register(std::string method, std::set<std::string> roles, raw_handler handler) {
-  assert(!state_->listener && "methods must be registered before listening");
+  assert(!state_->acceptor.IsListening() && "methods must be registered before listening");
   state_->methods.emplace(std::move(method), method_entry{std::move(roles), std::move(handler)});
 }
 
 result<std::uint16_t> rpc_server::Listen(const endpoint& address) {
-  state_->accept_loop = std::make_unique<io_loop>("rpc-accept");
-  std::uint16_t port = 0;
-  std::string cause;
-  state_->accept_loop->RunAndWait([&] {
-    state_->listener = std::make_unique<descriptor_server>();
-    state_->listener->on_descriptor = [this](qintptr descriptor) { state_->Accept(descriptor); };
-    if (state_->listener->listen(QHostAddress(QString::fromStdString(address.ip)), address.port)) {
-      port = state_->listener->serverPort();
-    } else {
-      cause = state_->listener->errorString().toStdString();
-    }
-  });
-  if (port == 0) {
-    return Fail(error_kind::kUnreachable,
-                "cannot listen on " + FormatEndpoint(address) + ": " + cause);
-  }
-  return port;
+  return state_->acceptor.Listen(address);
 }
 
 void rpc_server::Close() {
-  if (state_->accept_loop) {
-    state_->accept_loop->RunAndWait([this] { state_->listener.reset(); });
-    state_->accept_loop.reset();
-  }
+  state_->acceptor.Close();
   for (const auto& each : state_->workers) {
     each->loop.RunAndWait([&each] { each->connections.clear(); });
   }
