Do not take late answers of a former term for a sign of authority

A follower answers an append of a former term with its present term. The answer also repeated the sending time and read round of that request. A member that led both terms counted it as a confirmation of its present lease or of a read; it could confirm a read without asking anybody, and miss commands that a newer leader had accepted.

The schedules now differ in character (load, faults, late messages, equal election timeouts, short outages right after a vote), because a group that is always busy hides faults of elections: only members with the newest entries can win.

--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -152,6 +152,7 @@
 
   // Replication (core_replication.cpp).
   void OnAppend(const raft_message& request);
+  void RefuseFormerTerm(const raft_message& request, message_kind kind);
   void FollowLeader(const raft_message& request);
   void StoreEntries(const raft_message& request);
   void RejectAppend(const raft_message& request);
--- a/src/consensus/core_replication.cpp
+++ b/src/consensus/core_replication.cpp
@@ -12,7 +12,7 @@
 void consensus_core::OnAppend(const raft_message& request) {
   state_.group = request.group;
   if (request.term < state_.term) {
-    return SendWhenDurable(MakeAnswer(request, message_kind::kAppendAnswer));
+    return RefuseFormerTerm(request, message_kind::kAppendAnswer);
   }
   FollowLeader(request);
   const bool is_matching =
@@ -30,6 +30,15 @@
   SendWhenDurable(std::move(answer));
 }
 
+// The answer carries the present term. If it also named the time and read round of the request, a
+// leader of the present term would count a message of a former term as a sign of its own authority.
+void consensus_core::RefuseFormerTerm(const raft_message& request, message_kind kind) {
+  raft_message answer = MakeAnswer(request, kind);
+  answer.sent_at = 0;
+  answer.read_round = 0;
+  SendWhenDurable(std::move(answer));
+}
+
 void consensus_core::FollowLeader(const raft_message& request) {
   assert(!(IsLeader() && request.term == state_.term) && "a term must not have two leaders");
   if (request.term > state_.term || role_ != core_role::kFollower) {
@@ -69,11 +78,11 @@
 }
 
 void consensus_core::OnSnapshot(const raft_message& request) {
-  raft_message answer = MakeAnswer(request, message_kind::kSnapshotAnswer);
-  answer.index = request.index;
   if (request.term < state_.term) {
-    return SendWhenDurable(std::move(answer));
+    return RefuseFormerTerm(request, message_kind::kSnapshotAnswer);
   }
+  raft_message answer = MakeAnswer(request, message_kind::kSnapshotAnswer);
+  answer.index = request.index;
   state_.group = answer.group = request.group;
   FollowLeader(request);
   answer.term = request.term;
@@ -212,7 +221,8 @@
     return nullptr;
   }
   const auto found = peers_.find(answer.from_id);
-  if (!IsLeader() || answer.term != state_.term || found == peers_.end()) {
+  const bool is_of_former_term = answer.sent_at == 0;
+  if (!IsLeader() || answer.term != state_.term || found == peers_.end() || is_of_former_term) {
     return nullptr;
   }
   progress& state = found->second;
--- a/tests/support/consensus_faults.cpp
+++ b/tests/support/consensus_faults.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr std::int64_t kMillisecond = 1'000'000;
-constexpr std::int64_t kDisturbance = 60 * kMillisecond;
 constexpr std::int64_t kOperatorPause = 150 * kMillisecond;
 constexpr std::size_t kFewestVoters = 3;
 
@@ -17,28 +16,31 @@
   if (is_calm_) {
     return;
   }
-  At(kDisturbance, [this] { Disturb(); });
-  ProposeSomewhere();
+  At(character_.disturbance, [this] { Disturb(); });
+  if (Chance(character_.busy_per_mille)) {
+    ProposeSomewhere();
+  }
+  if (Chance(character_.crash_per_mille)) {
+    CrashSomeone();
+  }
+  if (Chance(character_.link_per_mille)) {
+    ChangeLinks();
+  }
   const std::uint64_t draw = Below(1000);
   if (draw < 150) {
     ReadSomewhere();
-  } else if (draw < 220) {
-    ChangeLinks();
-  } else if (draw < 260) {
-    CrashSomeone();
-  } else if (draw < 280) {
+  } else if (draw < 170) {
     FreezeSomeone();
-  } else if (draw < 300) {
+  } else if (draw < 180) {
     RefuseSomeDisk();
-  } else if (draw < 320) {
+  } else if (draw < 200) {
     WipeSomeone();
-  } else if (draw < 420) {
+  } else if (draw < 270) {
     ChangeMembers();
-  } else if (draw < 424) {
+  } else if (draw < 272) {
     for (auto& crashed : nodes_) {
       CrashNode(*crashed);
-      At(static_cast<std::int64_t>(Below(2000)) * kMillisecond,
-         [this, raw = crashed.get()] { StartNode(*raw); });
+      At(Downtime(), [this, raw = crashed.get()] { StartNode(*raw); });
     }
   }
 }
@@ -61,11 +63,12 @@
 // Cuts go one way, or isolate a node; sometimes all are healed.
 void consensus_schedule::ChangeLinks() {
   const std::uint64_t draw = Below(10);
-  node& chosen = AnyNode();
-  if (draw < 3) {
+  node* leader = Leader();
+  node& chosen = leader != nullptr && Chance(500) ? *leader : AnyNode();
+  if (draw < 4) {
     cut_links_.clear();
     loss_per_mille_ = 0;
-  } else if (draw < 6) {
+  } else if (draw < 7) {
     cut_links_.insert({chosen.name, AnyNode().name});
   } else if (draw < 8) {
     loss_per_mille_ = Below(4) * 100;
@@ -82,7 +85,14 @@
 void consensus_schedule::CrashSomeone() {
   node& chosen = AnyNode();
   CrashNode(chosen);
-  At(static_cast<std::int64_t>(Below(3000)) * kMillisecond, [this, &chosen] { StartNode(chosen); });
+  At(Downtime(), [this, &chosen] { StartNode(chosen); });
+}
+
+// A short outage right after a vote, in which a replica could forget whom it voted for.
+void consensus_schedule::CrashVoter(node& crashed) {
+  CrashNode(crashed);
+  At(static_cast<std::int64_t>(Below(100)) * kMillisecond,
+     [this, raw = &crashed] { StartNode(*raw); });
 }
 
 void consensus_schedule::FreezeSomeone() {
@@ -102,8 +112,7 @@
   node& chosen = AnyNode();
   if (MayWipe(chosen)) {
     WipeNode(chosen);
-    At(static_cast<std::int64_t>(Below(2000)) * kMillisecond,
-       [this, &chosen] { StartNode(chosen); });
+    At(Downtime(), [this, &chosen] { StartNode(chosen); });
   }
 }
 
--- a/tests/support/consensus_schedule.cpp
+++ b/tests/support/consensus_schedule.cpp
@@ -3,6 +3,7 @@
 #include "base/hash.h"
 
 #include <algorithm>
+#include <array>
 #include <iostream>
 
 namespace corianderhoist {
@@ -11,8 +12,7 @@
 constexpr std::int64_t kMillisecond = 1'000'000;
 constexpr std::int64_t kSecond = 1000 * kMillisecond;
 constexpr std::int64_t kTick = 40 * kMillisecond;
-constexpr std::int64_t kFirstDisturbance = 60 * kMillisecond;
-constexpr std::int64_t kFaultTime = 15 * kSecond;
+constexpr std::int64_t kFaultTime = 30 * kSecond;
 // Elections, repairs of up to one member and catching up take a few seconds without faults.
 constexpr std::int64_t kCalmTime = 60 * kSecond;
 constexpr std::size_t kFirstMembers = 3;
@@ -31,6 +31,13 @@
 
 consensus_schedule::consensus_schedule(std::uint64_t seed, bool is_traced)
     : seed_(seed), is_traced_(is_traced), random_(seed * 2 + 1) {
+  character_.busy_per_mille = std::array{30, 200, 1000}[Below(3)];
+  character_.disturbance = std::array{20, 40, 60}[Below(3)] * kMillisecond;
+  character_.crash_per_mille = std::array{4, 15, 40}[Below(3)];
+  character_.link_per_mille = std::array{15, 70, 200}[Below(3)];
+  character_.late_per_mille = std::array{10, 50, 150}[Below(3)];
+  character_.shared_seed = Chance(400) ? random_() | 1 : 0;
+  character_.longest_downtime = std::array{100, 1000, 3000}[Below(3)] * kMillisecond;
   for (std::size_t i = 0; i < kNodes; ++i) {
     auto made = std::make_unique<node>();
     made->name = std::string(1, static_cast<char>('a' + i));
@@ -47,7 +54,7 @@
     At(static_cast<std::int64_t>(Below(1000)) * kMillisecond,
        [this, raw = made.get()] { StartNode(*raw); });
   }
-  At(kFirstDisturbance, [this] { Disturb(); });
+  At(character_.disturbance, [this] { Disturb(); });
   bool is_recovered = false;
   while (!events_.empty() && now_ < kFaultTime + kCalmTime && !is_recovered) {
     const event next = events_.top();
@@ -120,7 +127,7 @@
   for (std::size_t i = 0; i < kFirstMembers; ++i) {
     settings.first_members.push_back({nodes_[i]->name, 0, nodes_[i]->name, true});
   }
-  settings.seed = random_();
+  settings.seed = character_.shared_seed != 0 ? character_.shared_seed : random_();
   settings.trailing_entries = Below(12);
   settings.append_entries = 4;
   settings.snapshot_part_bytes = 8;
@@ -234,16 +241,22 @@
   Step(writing, [&](consensus_core& core) { core.WriteDone(write.sequence, LocalTime(writing)); });
 }
 
-void consensus_schedule::SendOne(const node& sender, const raft_message& message) {
+void consensus_schedule::SendOne(node& sender, const raft_message& message) {
   if (cut_links_.contains({sender.name, message.to}) || Chance(loss_per_mille_)) {
     return;
   }
+  if (!is_calm_ && message.kind == message_kind::kVoteAnswer && message.is_granted && Chance(100)) {
+    At(kMillisecond, [this, raw = &sender] { CrashVoter(*raw); });
+  }
   const std::uint64_t copies = !is_calm_ && Chance(30) ? 2 : 1;
   for (std::uint64_t i = 0; i < copies; ++i) {
     std::int64_t delay = static_cast<std::int64_t>(500 + Below(30'000)) * kMillisecond / 1000;
-    if (!is_calm_ && Chance(10)) {
+    if (!is_calm_ && Chance(character_.late_per_mille)) {
       delay += static_cast<std::int64_t>(Below(4000)) * kMillisecond;
     }
+    if (!is_calm_ && message.kind == message_kind::kVote && Chance(200)) {
+      delay += static_cast<std::int64_t>(Below(1500)) * kMillisecond;
+    }
     At(delay, [this, message] { Deliver(message); });
   }
 }
--- a/tests/support/consensus_schedule.h
+++ b/tests/support/consensus_schedule.h
@@ -71,6 +71,17 @@
       return std::pair(at, order) > std::pair(other.at, other.order);
     }
   };
+  /// How one schedule differs from the next. A group that is busy all the time hides faults of
+  /// elections, because only members with the newest entries can win.
+  struct character {
+    std::uint64_t busy_per_mille = 1000;  ///< Disturbances with proposals.
+    std::int64_t disturbance = 0;         ///< Nanoseconds between two.
+    std::uint64_t late_per_mille = 10;    ///< Messages that are seconds late.
+    std::uint64_t crash_per_mille = 40;   ///< Disturbances that are crashes.
+    std::uint64_t link_per_mille = 70;    ///< Disturbances that cut or heal links.
+    std::uint64_t shared_seed = 0;        ///< Not 0: all members draw the same timeouts.
+    std::int64_t longest_downtime = 0;    ///< Nanoseconds.
+  };
   struct committed_entry {
     std::uint64_t term = 0;
     std::string data;
@@ -95,7 +106,7 @@
   void Drain(node& drained);
   void StartWrite(node& writing, storage_write write);
   void FinishWrite(node& writing, std::uint64_t life);
-  void SendOne(const node& sender, const raft_message& message);
+  void SendOne(node& sender, const raft_message& message);
   void ApplyTo(node& applying, const core_output& output);
   void CompactIfDue(node& compacting);
 
@@ -103,7 +114,12 @@
   void Disturb();
   void ChangeLinks();
   void CrashSomeone();
+  void CrashVoter(node& crashed);
   void WipeSomeone();
+  std::int64_t Downtime() {
+    return static_cast<std::int64_t>(
+        Below(static_cast<std::uint64_t>(character_.longest_downtime)));
+  }
   void FreezeSomeone();
   void RefuseSomeDisk();
   node& AnyNode() { return *nodes_[Below(nodes_.size())]; }
@@ -127,6 +143,7 @@
   const std::uint64_t seed_;
   const bool is_traced_;
   std::mt19937_64 random_;
+  character character_;
   std::int64_t now_ = 0;  ///< Nanoseconds.
   std::uint64_t next_order_ = 0;
   std::priority_queue<event, std::vector<event>, std::greater<>> events_;
--- a/tests/unit/consensus/schedule_test.cpp
+++ b/tests/unit/consensus/schedule_test.cpp
@@ -18,7 +18,7 @@
 namespace corianderhoist {
 namespace {
 
-constexpr std::uint64_t kDefaultSchedules = 2000;
+constexpr std::uint64_t kDefaultSchedules = 5000;
 constexpr std::size_t kThreads = 4;
 
 thread_local std::uint64_t running_seed = 0;
