--- a/src/coordinator/coordinator_acquire.cpp
+++ b/src/coordinator/coordinator_acquire.cpp
@@ -12,6 +12,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kLongestTokenWait(50);
+// A reservation that is used later than this would come on top of the tokens accrued since.
+constexpr milliseconds kReservationDelay(10);
 constexpr milliseconds kSuspectRetry(10);
 constexpr milliseconds kEndingRetry(2);
 constexpr char kSeparator = '\x1e';
@@ -248,8 +250,7 @@
   }
   switch (taken.status) {
     case take_status::kTaken:
-      subject->has_token = true;
-      SeekSlot(subject);
+      UseToken(subject, now);
       return;
     case take_status::kReserved:
       after_(taken.wait,
@@ -281,21 +282,27 @@
     });
     return;
   }
-  subject->has_token = true;
   const std::uint64_t current = ledgers_.With(subject->request.workspace, [&](rate_ledger& ledger) {
     const rate_bucket* bucket = ledger.Find(subject->request.workspace);
     return bucket == nullptr ? epoch + 1 : bucket->Epoch();
   });
-  if (current == epoch) {
-    SeekSlot(subject);
+  if (current == epoch && clock_.Now() - ready <= kReservationDelay) {
+    UseToken(subject, ready);
     return;
   }
-  // The rate has fallen since, so the token may not have accrued.
+  // The rate has fallen since, or the process was frozen: the token is taken anew.
   Refund(subject->request.workspace);
-  subject->has_token = false;
   TakeToken(subject);
 }
 
+void coordinator_core::UseToken(const call_ptr& subject, steady_time at) {
+  subject->has_token = true;
+  if (on_token_) {
+    on_token_(subject->request.request_id, at);
+  }
+  SeekSlot(subject);
+}
+
 void coordinator_core::SeekSlot(const call_ptr& subject) {
   if (!IsCurrent(subject->term)) {
     Refuse(subject, NotLeader());
--- a/src/coordinator/coordinator_core.h
+++ b/src/coordinator/coordinator_core.h
@@ -65,6 +65,12 @@
   void Announce(const announcement& news, const rpc_callback<empty_message>& reply);
   void Session(const session_request& renewal, const rpc_callback<empty_message>& reply);
 
+  /// Observes each token that a request takes, with the time by this member's clock. For tests;
+  /// must be set before the first call.
+  void OnToken(std::function<void(const std::string& request_id, steady_time at)> observer) {
+    on_token_ = std::move(observer);
+  }
+
   /// Periodic work; should be called every `kTickInterval`.
   void Tick();
   /// To be called from the observer of the region's state.
@@ -110,6 +116,7 @@
   void CheckHome(const call_ptr& subject);
   void TakeToken(const call_ptr& subject);
   void UseReservation(const call_ptr& subject, std::uint64_t epoch, steady_time ready);
+  void UseToken(const call_ptr& subject, steady_time at);
   void SeekSlot(const call_ptr& subject);
   void SendElsewhere(const call_ptr& subject, const std::string& region);
   void OnSlot(const call_ptr& subject, slot_outcome outcome);
@@ -147,6 +154,7 @@
   region_log& log_;
   const clock_source& clock_;
   const scheduler after_;
+  std::function<void(const std::string&, steady_time)> on_token_;
   const std::shared_ptr<log_writer> writer_;
   std::atomic<bool> is_draining_ = false;
   std::atomic<std::uint64_t> term_ = 0;  // Of the present soft state; 0 when there is none.
--- a/src/coordinator/health_judge.cpp
+++ b/src/coordinator/health_judge.cpp
@@ -17,7 +17,11 @@
 // fails as often as the reference share allows; four failures in a row cross it at the lowest
 // share.
 constexpr double kThreshold = 10;
-constexpr double kSuspicion = kThreshold / 2;
+constexpr double kHalfThreshold = kThreshold / 2;
+// Evidence older than this says nothing about the present state.
+constexpr seconds kEvidenceLife(30);
+// An upstream that the floor kept in service is a last choice for this long after its last failure.
+constexpr seconds kLastChoiceTime(10);
 // Evidence counts as raised from one recent bad outcome on.
 constexpr double kRaised = kThreshold / 5;
 // A lost connection takes all requests of an upstream with it at the same moment, which is one
@@ -132,6 +136,10 @@
                            ? latency
                            : entry.latency_us + kLatencyWeight * (latency - entry.latency_us);
   }
+  if (entry.score > 0 && now - entry.last_bad > kEvidenceLife) {
+    entry.score = 0;
+    entry.first_bad.reset();
+  }
   if (!is_bad && entry.score == 0) {
     return;
   }
@@ -309,7 +317,7 @@
       continue;
     }
     if (!IsTrusted(entry, now) || IsCommonCause(id)) {
-      entry.score = kSuspicion;
+      entry.score = kHalfThreshold;
       continue;
     }
     if (entry.last_bad - *entry.first_bad < kShortestEvidence) {
@@ -368,8 +376,9 @@
     entry.state = standing::kHealthy;
     entry.since = now;
     entry.is_kept_by_floor = true;
-    entry.score = kSuspicion;
+    entry.score = kHalfThreshold;
     entry.first_bad = now;
+    entry.last_bad = now;
     healthy += each->slots;
     returned.push_back(each->id);
   }
@@ -388,6 +397,9 @@
       entry.since = now;
       entry.trial_successes = 0;
     }
+    if (entry.is_kept_by_floor && now - entry.last_bad > kLastChoiceTime) {
+      entry.is_kept_by_floor = false;
+    }
     if (entry.is_trial_running && now - entry.trial_started >= kTrialTimeout) {
       entry.is_trial_running = false;
     }
@@ -418,8 +430,7 @@
 
 bool health_judge::IsSuspected(const upstream_id& upstream) const {
   const auto found = records_.find(upstream);
-  return found != records_.end() &&
-         (found->second.is_kept_by_floor || found->second.score >= kSuspicion);
+  return found != records_.end() && found->second.is_kept_by_floor;
 }
 
 bool health_judge::MayTry(const upstream_id& upstream, bool is_idempotent, steady_time now) const {
--- a/src/coordinator/health_judge.h
+++ b/src/coordinator/health_judge.h
@@ -103,8 +103,9 @@
   std::vector<upstream_id> Advance(steady_time now);
 
   standing StandingOf(const upstream_id& upstream) const;
-  /// Evidence is above half of the threshold, or the floor kept a sick upstream in service: it gets
-  /// work only when no other upstream has a free slot.
+  /// The floor keeps a sick upstream in service: it gets work only when no other upstream has a
+  /// free slot. Evidence below the threshold has no such effect, because without work it would
+  /// neither grow nor go away.
   bool IsSuspected(const upstream_id& upstream) const;
   /// Whether an upstream on trial may get this request now. Trials that are not idempotent are
   /// allowed once the trial has waited `kTrialPatience`.
--- a/src/coordinator/service_board.cpp
+++ b/src/coordinator/service_board.cpp
@@ -129,10 +129,11 @@
 }
 
 // The first allowed place counts most; there, a due trial goes first, then upstreams without
-// suspicion, then the one with the largest share of free slots.
+// suspicion, then the one with the largest share of free slots, then the one that has waited
+// longest.
 service_board::choice service_board::Choose(const slot_request& request, steady_time now) const {
   choice best;
-  std::tuple<bool, std::size_t, bool, bool, double> best_rank;
+  std::tuple<bool, std::size_t, bool, bool, double, std::uint64_t> best_rank;
   for (const auto& [name, entry] : directory_.Entries()) {
     const std::optional<std::size_t> rank = RankOf(entry.last, request.places);
     if (!rank) {
@@ -144,7 +145,7 @@
     }
     const double load = static_cast<double>(slots_.InUse(entry.Id())) / entry.last.slots;
     const std::tuple rank_of_candidate(Contains(request.avoid, name), *rank, !candidate->is_trial,
-                                       judge_.IsSuspected(entry.Id()), load);
+                                       judge_.IsSuspected(entry.Id()), load, LastChoice(name));
     if (best.upstream == nullptr || rank_of_candidate < best_rank) {
       best = *candidate;
       best_rank = rank_of_candidate;
@@ -153,6 +154,11 @@
   return best;
 }
 
+std::uint64_t service_board::LastChoice(const std::string& upstream) const {
+  const auto found = last_choice_.find(upstream);
+  return found == last_choice_.end() ? 0 : found->second;
+}
+
 slot_grant service_board::Open(const slot_request& request, const choice& chosen, steady_time now) {
   slot_lease lease;
   lease.upstream = chosen.upstream->Id();
@@ -168,6 +174,7 @@
   lease.deadline = request.deadline;
   lease.is_trial = chosen.is_trial;
   lease.is_suspect = request.is_suspect;
+  last_choice_[lease.upstream.name] = ++choices_;
   if (chosen.is_trial) {
     judge_.StartTrial(lease.upstream, now);
   }
@@ -324,6 +331,8 @@
   if (now - swept_at_ >= kSweepInterval) {
     swept_at_ = now;
     directory_.Sweep(now);
+    std::erase_if(last_choice_,
+                  [&](const auto& each) { return !directory_.Entries().contains(each.first); });
     for (slot_lease& each : slots_.Sweep(now, is_alive)) {
       if (each.is_trial) {
         judge_.CancelTrial(each.upstream);
--- a/src/coordinator/service_board.h
+++ b/src/coordinator/service_board.h
@@ -121,6 +121,7 @@
   };
 
   choice Choose(const slot_request& request, steady_time now) const;
+  std::uint64_t LastChoice(const std::string& upstream) const;
   std::optional<choice> Consider(const upstream_entry& entry,
                                  const slot_request& request,
                                  steady_time now) const;
@@ -138,6 +139,8 @@
   slot_table slots_;
   health_judge judge_;
   fair_queue<slot_request> queue_;
+  std::map<std::string, std::uint64_t> last_choice_;  // Number of the last grant by upstream.
+  std::uint64_t choices_ = 0;
   std::map<std::string, double> slot_milliseconds_;  // Moving mean by workspace.
   steady_time swept_at_;
 };
--- a/tools/coordinator_bench_main.cpp
+++ b/tools/coordinator_bench_main.cpp
@@ -134,6 +134,7 @@
       }
     });
     std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(FLAGS_threads));
     for (int thread = 0; thread < FLAGS_threads; ++thread) {
       threads.emplace_back([this, thread] {
         for (int i = 0; i < FLAGS_pairs; ++i) {
@@ -181,14 +182,15 @@
   }
 
   static const digest& KeyOf(int workspace) {
-    static const std::vector<digest> keys = [] {
+    static const std::vector<digest> kKeys = [] {
       std::vector<digest> all;
+      all.reserve(static_cast<std::size_t>(FLAGS_workspaces));
       for (int i = 0; i < FLAGS_workspaces; ++i) {
         all.push_back(Sha256(Workspace(i)));
       }
       return all;
     }();
-    return keys[static_cast<std::size_t>(workspace)];
+    return kKeys[static_cast<std::size_t>(workspace)];
   }
 
   void Pair(const acquire_request& request, attempt_result outcome) {
