--- a/src/coordinator/coordinator_acquire.cpp
+++ b/src/coordinator/coordinator_acquire.cpp
@@ -15,6 +15,10 @@
 // A reservation that is used later than this would come on top of the tokens accrued since.
 constexpr milliseconds kReservationDelay(10);
 constexpr milliseconds kSuspectRetry(10);
+// A caller that has its answer may send the order again before the outcome is committed, so a
+// resend waits this long for the outcome before it learns that the first request is still running.
+constexpr milliseconds kLongestResendWait(500);
+constexpr milliseconds kResendRetry(10);
 constexpr milliseconds kEndingRetry(2);
 constexpr char kSeparator = '\x1e';
 
@@ -189,6 +193,11 @@
       after_(kEndingRetry, [self = shared_from_this(), subject] { self->CheckHome(subject); });
       return;
     }
+    if (met.verdict == record_verdict::kStillRunning &&
+        now < std::min(subject->started + kLongestResendWait, subject->deadline)) {
+      after_(kResendRetry, [self = shared_from_this(), subject] { self->CheckHome(subject); });
+      return;
+    }
     if (met.verdict != record_verdict::kBegin) {
       rpc_result<acquire_reply> reply = ReplyFor(met);
       if (auto* failure = std::get_if<rpc_failure>(&reply)) {
