Measure the coordinator over sockets and test its settings

The wait of up to 50 ms for a token begins when the token is first asked for: a resend that waited for the outcome of its first request had none left.

--- a/src/coordinator/coordinator_acquire.cpp
+++ b/src/coordinator/coordinator_acquire.cpp
@@ -239,7 +239,8 @@
   }
   const std::string& workspace = subject->request.workspace;
   const steady_time now = clock_.Now();
-  const auto waited = now - subject->started;
+  subject->token_asked = subject->token_asked.value_or(now);
+  const auto waited = now - *subject->token_asked;
   const std::chrono::nanoseconds longest = std::max(
       std::chrono::nanoseconds(0),
       std::min<std::chrono::nanoseconds>(kLongestTokenWait - waited, subject->deadline - now));
--- a/src/coordinator/coordinator_core.h
+++ b/src/coordinator/coordinator_core.h
@@ -21,6 +21,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -100,6 +101,7 @@
     bool is_home = false;
     bool is_suspect = false;
     bool has_token = false;
+    std::optional<steady_time> token_asked;  // Other waits do not shorten the one for a token.
   };
   using call_ptr = std::shared_ptr<call>;
   using board_map = std::map<std::string, service_board>;
--- a/tools/coordinator_bench_main.cpp
+++ b/tools/coordinator_bench_main.cpp
@@ -1,13 +1,16 @@
-// Measures decisions of a coordinator without network and storage: pairs of acquire and complete a
-// second on the given number of threads, and bytes a workspace, an upstream and a record. Output is
-// one JSON object.
+// Measures decisions of a coordinator without storage: pairs of acquire and complete a second on
+// the given number of threads, or over sockets on loopback with mutual TLS, and bytes a workspace,
+// an upstream and a record. Output is one JSON object.
 #include "base/clock.h"
 #include "base/log.h"
 #include "coordinator/coordinator_core.h"
 #include "coordinator/local_log.h"
 #include "coordinator/region_state.h"
+#include "wire/certificates.h"
+#include "wire/rpc.h"
 
 #include <gflags/gflags.h>
+#include <QCoreApplication>
 #include <QJsonDocument>
 #include <QJsonObject>
 
@@ -15,7 +18,10 @@
 #include <sys/resource.h>
 
 #include <atomic>
+#include <condition_variable>
+#include <filesystem>
 #include <iostream>
+#include <mutex>
 #include <thread>
 #include <vector>
 
@@ -25,6 +31,8 @@
 DEFINE_int32(services, 16, "services");
 DEFINE_int32(upstreams, 12, "upstreams per service");
 DEFINE_int32(records, 0, "orders whose records are kept, for the memory of records");
+DEFINE_int32(connections, 0, "connections of entry VMs; 0 calls the coordinator directly");
+DEFINE_int32(parallel, 64, "pairs in flight per connection");
 DEFINE_bool(orders, false, "requests are orders with an idempotency key");
 
 namespace corianderhoist {
@@ -51,6 +59,78 @@
   return "service-" + std::to_string(index);
 }
 
+constexpr std::chrono::seconds kCallTimeout(30);
+
+// A server with the coordinator's methods and connections to it, each on a thread of its own.
+class socket_side {
+ public:
+  explicit socket_side(coordinator_core& core) : folder_(MakeFolder()) {
+    authority_ = Must(CreateAuthority("bench", {}));
+    server_ = std::make_unique<rpc_server>(Identity("coordinator", "server"), FLAGS_threads);
+    server_->Handle<acquire_request, acquire_reply>(
+        "coordinator.acquire", {"entry"},
+        [&core](const rpc_context&, acquire_request request, rpc_callback<acquire_reply> reply) {
+          core.Acquire(std::move(request), std::move(reply));
+        });
+    server_->Handle<complete_request, empty_message>(
+        "coordinator.complete", {"entry"},
+        [&core](const rpc_context&, complete_request report, rpc_callback<empty_message> reply) {
+          core.Complete(std::move(report), std::move(reply));
+        });
+    port_ = Must(server_->Listen({"127.0.0.1", 0}));
+  }
+  ~socket_side() {
+    channels_.clear();
+    server_.reset();
+    std::filesystem::remove_all(folder_);
+  }
+  socket_side(const socket_side&) = delete;
+  socket_side& operator=(const socket_side&) = delete;
+
+  rpc_channel& Connect() {
+    loops_.push_back(std::make_unique<io_loop>("client"));
+    channels_.push_back(std::make_unique<rpc_channel>(*loops_.back(), Identity("entry", "client"),
+                                                      endpoint{"127.0.0.1", port_}, "server"));
+    return *channels_.back();
+  }
+
+ private:
+  static std::filesystem::path MakeFolder() {
+    auto folder =
+        std::filesystem::temp_directory_path() / ("coordinator-bench-" + ToHex(RandomBytes(8)));
+    std::filesystem::create_directories(folder);
+    return folder;
+  }
+  template <class Value>
+  static Value Must(result<Value> outcome) {
+    if (!outcome) {
+      std::cerr << "the bench could not be set up\n";
+      std::exit(1);
+    }
+    return std::move(outcome.value());
+  }
+  std::shared_ptr<tls_identity> Identity(const std::string& role, const std::string& name) {
+    const key_pair_pem pair = Must(IssueCertificate(authority_, {role, name}, {}));
+    tls_files files{folder_ / (name + ".pem"), folder_ / (name + ".key"), folder_ / "ca.pem"};
+    for (const auto& [file, text] : {std::pair(files.certificate, pair.certificate),
+                                     std::pair(files.private_key, pair.private_key),
+                                     std::pair(files.authority, authority_.certificate)}) {
+      if (!WriteSecretFile(file, text)) {
+        std::cerr << "cannot write " << file << '\n';
+        std::exit(1);
+      }
+    }
+    return Must(tls_identity::Load(files));
+  }
+
+  const std::filesystem::path folder_;
+  key_pair_pem authority_;
+  std::unique_ptr<rpc_server> server_;
+  std::uint16_t port_ = 0;
+  std::vector<std::unique_ptr<io_loop>> loops_;
+  std::vector<std::unique_ptr<rpc_channel>> channels_;
+};
+
 class bench {
  public:
   bench()
@@ -133,29 +213,20 @@
         }
       }
     });
-    std::vector<std::thread> threads;
-    threads.reserve(static_cast<std::size_t>(FLAGS_threads));
-    for (int thread = 0; thread < FLAGS_threads; ++thread) {
-      threads.emplace_back([this, thread] {
-        for (int i = 0; i < FLAGS_pairs; ++i) {
-          acquire_request request = Request(2 + thread, i);
-          if (FLAGS_orders) {
-            request.idempotency_key = request.request_id;
-          }
-          Pair(request, attempt_result::kSuccess);
-        }
-      });
-    }
-    for (std::thread& each : threads) {
-      each.join();
+    if (FLAGS_connections > 0) {
+      RunOverSockets();
+    } else {
+      RunOnThreads();
     }
     const double elapsed = std::chrono::duration<double>(steady_clock::now() - start).count();
     is_over = true;
     announcer.join();
-    const double pairs = static_cast<double>(FLAGS_pairs) * FLAGS_threads;
+    const double pairs = static_cast<double>(FLAGS_pairs) *
+                         (FLAGS_connections > 0 ? FLAGS_connections : FLAGS_threads);
     return {{"pairs_per_second", pairs / elapsed},
             {"processor_us_per_pair", (ProcessorSeconds() - processor) * 1e6 / pairs},
             {"threads", FLAGS_threads},
+            {"connections", FLAGS_connections},
             {"refused", static_cast<qint64>(refused_.load())},
             {"bytes_per_configured_workspace", configuration_bytes_},
             {"bytes_per_active_workspace", workspace_bytes_},
@@ -193,6 +264,28 @@
     return kKeys[static_cast<std::size_t>(workspace)];
   }
 
+  static complete_request Report(const acquire_request& request,
+                                 const acquire_reply& granted,
+                                 attempt_result outcome) {
+    complete_request report;
+    report.request_id = request.request_id;
+    report.entry_vm = request.entry_vm;
+    report.session = request.session;
+    report.lease = granted.lease;
+    report.workspace = request.workspace;
+    report.upstream = granted.upstream;
+    report.incarnation = granted.incarnation;
+    report.outcome = outcome;
+    report.latency = std::chrono::milliseconds(5);
+    report.fingerprint = request.fingerprint;
+    report.idempotency_key = request.idempotency_key;
+    if (!request.idempotency_key.empty()) {
+      report.answer =
+          stored_answer{201, {"Content-Type: application/json"}, std::string(200, 'x'), true};
+    }
+    return report;
+  }
+
   void Pair(const acquire_request& request, attempt_result outcome) {
     core_->Acquire(request, [&](rpc_result<acquire_reply> reply) {
       const auto* granted = std::get_if<acquire_reply>(&reply);
@@ -200,32 +293,79 @@
         ++refused_;
         return;
       }
-      complete_request report;
-      report.request_id = request.request_id;
-      report.entry_vm = request.entry_vm;
-      report.session = request.session;
-      report.lease = granted->lease;
-      report.workspace = request.workspace;
-      report.upstream = granted->upstream;
-      report.incarnation = granted->incarnation;
-      report.outcome = outcome;
-      report.latency = std::chrono::milliseconds(5);
-      report.fingerprint = request.fingerprint;
-      report.idempotency_key = request.idempotency_key;
-      if (!request.idempotency_key.empty()) {
-        report.answer =
-            stored_answer{201, {"Content-Type: application/json"}, std::string(200, 'x'), true};
-      }
-      core_->Complete(std::move(report), [](const rpc_result<empty_message>&) {});
+      core_->Complete(Report(request, *granted, outcome), [](const rpc_result<empty_message>&) {});
     });
   }
 
+  // Keeps a number of pairs in flight on one connection.
+  void StartPair(rpc_channel& channel, int connection, int index) {
+    auto request = std::make_shared<acquire_request>(Request(2 + connection, index));
+    if (FLAGS_orders) {
+      request->idempotency_key = request->request_id;
+    }
+    const auto go_on = [this, &channel, connection, index] {
+      if (index + FLAGS_parallel < FLAGS_pairs) {
+        StartPair(channel, connection, index + FLAGS_parallel);
+      }
+      const std::lock_guard guard(lock_);
+      ++finished_;
+      done_.notify_one();
+    };
+    channel.Call<acquire_reply>(
+        "coordinator.acquire", *request, kCallTimeout,
+        [this, &channel, request, go_on](const rpc_result<acquire_reply>& reply) {
+          const auto* granted = std::get_if<acquire_reply>(&reply);
+          if (granted == nullptr) {
+            ++refused_;
+            go_on();
+            return;
+          }
+          channel.Call<empty_message>(
+              "coordinator.complete", Report(*request, *granted, attempt_result::kSuccess),
+              kCallTimeout, [go_on](const rpc_result<empty_message>&) { go_on(); });
+        });
+  }
+
+  void RunOverSockets() {
+    socket_side side(*core_);
+    for (int connection = 0; connection < FLAGS_connections; ++connection) {
+      rpc_channel& channel = side.Connect();
+      for (int i = 0; i < FLAGS_parallel && i < FLAGS_pairs; ++i) {
+        StartPair(channel, connection, i);
+      }
+    }
+    std::unique_lock guard(lock_);
+    done_.wait(guard, [this] { return finished_ >= FLAGS_pairs * FLAGS_connections; });
+  }
+
+  void RunOnThreads() {
+    std::vector<std::thread> threads;
+    threads.reserve(static_cast<std::size_t>(FLAGS_threads));
+    for (int thread = 0; thread < FLAGS_threads; ++thread) {
+      threads.emplace_back([this, thread] {
+        for (int i = 0; i < FLAGS_pairs; ++i) {
+          acquire_request request = Request(2 + thread, i);
+          if (FLAGS_orders) {
+            request.idempotency_key = request.request_id;
+          }
+          Pair(request, attempt_result::kSuccess);
+        }
+      });
+    }
+    for (std::thread& each : threads) {
+      each.join();
+    }
+  }
+
   process_clock clock_;
   region_state state_{"north"};
   local_log log_{state_};
   std::shared_ptr<coordinator_core> core_;
   std::atomic<steady_time> announced_at_{};
   std::atomic<std::uint64_t> refused_ = 0;
+  std::mutex lock_;
+  std::condition_variable done_;
+  int finished_ = 0;
   double configuration_bytes_ = 0;
   double workspace_bytes_ = 0;
   double upstream_bytes_ = 0;
@@ -238,6 +378,7 @@
 int main(int argc, char** argv) {
   gflags::SetUsageMessage("measures the decisions of a coordinator");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
+  const QCoreApplication application(argc, argv);
   corianderhoist::ConfigureLog("bench", corianderhoist::log_level::kError);
   corianderhoist::bench bench;
   bench.MeasureUpstreams();
