--- a/src/coordinator/coordinator_acquire.cpp
+++ b/src/coordinator/coordinator_acquire.cpp
@@ -12,6 +12,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kLongestTokenWait(50);
+// A reservation that is used later than this would come on top of the tokens accrued since.
+constexpr milliseconds kReservationDelay(10);
 constexpr milliseconds kSuspectRetry(10);
 // A caller that has its answer may send the order again before the outcome is committed, so a
 // resend waits this long for the outcome before it learns that the first request is still running.
@@ -237,7 +239,8 @@
   }
   const std::string& workspace = subject->request.workspace;
   const steady_time now = clock_.Now();
-  const auto waited = now - subject->started;
+  subject->token_asked = subject->token_asked.value_or(now);
+  const auto waited = now - *subject->token_asked;
   const std::chrono::nanoseconds longest = std::max(
       std::chrono::nanoseconds(0),
       std::min<std::chrono::nanoseconds>(kLongestTokenWait - waited, subject->deadline - now));
@@ -257,8 +260,7 @@
   }
   switch (taken.status) {
     case take_status::kTaken:
-      subject->has_token = true;
-      SeekSlot(subject);
+      UseToken(subject, now);
       return;
     case take_status::kReserved:
       after_(taken.wait,
@@ -290,21 +292,27 @@
     });
     return;
   }
-  subject->has_token = true;
   const std::uint64_t current = ledgers_.With(subject->request.workspace, [&](rate_ledger& ledger) {
     const rate_bucket* bucket = ledger.Find(subject->request.workspace);
     return bucket == nullptr ? epoch + 1 : bucket->Epoch();
   });
-  if (current == epoch) {
-    SeekSlot(subject);
+  if (current == epoch && clock_.Now() - ready <= kReservationDelay) {
+    UseToken(subject, ready);
     return;
   }
-  // The rate has fallen since, so the token may not have accrued.
+  // The rate has fallen since, or the process was frozen: the token is taken anew.
   Refund(subject->request.workspace);
-  subject->has_token = false;
   TakeToken(subject);
 }
 
+void coordinator_core::UseToken(const call_ptr& subject, steady_time at) {
+  subject->has_token = true;
+  if (on_token_) {
+    on_token_(subject->request.request_id, at);
+  }
+  SeekSlot(subject);
+}
+
 void coordinator_core::SeekSlot(const call_ptr& subject) {
   if (!IsCurrent(subject->term)) {
     Refuse(subject, NotLeader());
