--- a/tests/unit/http/answer_reader_test.cpp
+++ b/tests/unit/http/answer_reader_test.cpp
@@ -20,6 +20,8 @@
         {"in chunks",
          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nh\r\n1\r\ni\r\n0\r\n\r\n",
          "complete", "hi"},
+        {"in one last chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+         "complete"},
         {"after an interim answer",
          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi", "complete",
          "hi"},
