--- a/src/entry/request_run.h
+++ b/src/entry/request_run.h
@@ -10,6 +10,7 @@
 #include <QTimer>
 
 #include <chrono>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -42,7 +43,9 @@
                   const rpc_result<acquire_reply>& reply,
                   steady_time sent_at);
   void OnRefusedByCoordinator(const rpc_failure& failure);
-  void AcquireAgain();
+  void AskAgain();
+  void OnOutdatedDecision();
+  void OnConfigBehind();
   void Replay(const stored_answer& stored);
 
   // Attempt
@@ -55,8 +58,9 @@
   void OnServerError();
   void OnAttemptTooSlow();
   void LimitAttempt();
-  bool TryRetry();
-  bool CanRetry() const;
+  /// Whether the request may go to another upstream after an attempt with this result.
+  bool CanRetry(attempt_result last) const;
+  void Retry(attempt_result last, bool is_upstream_busy);
 
   // Ends
   void OnCallerLeft();
@@ -67,9 +71,14 @@
   void Finish();
 
   // Reports
-  void Complete(attempt_result outcome, bool is_upstream_busy);
+  /// `done` is called once the home coordinator has answered.
+  void Complete(attempt_result outcome,
+                bool is_upstream_busy,
+                const std::function<void()>& done = {});
   void AbandonRecord();
-  void SendComplete(const std::string& region, complete_request message);
+  void SendComplete(const std::string& region,
+                    complete_request message,
+                    const std::function<void()>& done);
   complete_request MakeComplete(attempt_result outcome) const;
 
   bool IsOrder() const { return !idempotency_key_.empty(); }
@@ -98,7 +107,8 @@
   steady_time attempt_started_at_;
   std::shared_ptr<upstream_exchange> exchange_;
   std::vector<std::string> avoid_;
-  int attempt_ = 1;
+  int decisions_ = 1;                    ///< Numbers the questions to the home coordinator.
+  int attempts_ = 1;                     ///< Counts the upstreams that were tried.
   std::optional<refusal> possible_run_;  ///< Set once an upstream may have run the request.
   std::optional<answer_head> answer_;    ///< Set once the answer has begun.
   std::string answer_body_;              ///< Copy for the record of an order.
