Cut single links of the leader in the schedules and show their teeth

A leader that is cut from one member only is the case that the lease is for: that member asks the others for votes while the leader still holds its lease. The schedules drew it too rarely to find a voter that ignores the lease. core_test checks the wait after a restart directly, because the schedules do not hit it.

--- a/tests/support/consensus_faults.cpp
+++ b/tests/support/consensus_faults.cpp
@@ -60,10 +60,21 @@
   Step(AnyNode(), [&](consensus_core& core) { core.Read(token); });
 }
 
+// The only cut is from the leader to one member, which will ask the others for their votes while
+// the leader still holds its lease.
+void consensus_schedule::CutFromLeader(const node& leader) {
+  const std::vector<group_member>& members = leader.core->Log().Members().members;
+  cut_links_ = {{leader.name, members[Below(members.size())].name}};
+  loss_per_mille_ = 0;
+}
+
 // Cuts go one way, or isolate a node; sometimes all are healed.
 void consensus_schedule::ChangeLinks() {
   const std::uint64_t draw = Below(10);
   node* leader = Leader();
+  if (leader != nullptr && Chance(400)) {
+    return CutFromLeader(*leader);
+  }
   node& chosen = leader != nullptr && Chance(500) ? *leader : AnyNode();
   if (draw < 4) {
     cut_links_.clear();
--- a/tests/support/consensus_schedule.cpp
+++ b/tests/support/consensus_schedule.cpp
@@ -31,7 +31,7 @@
 
 consensus_schedule::consensus_schedule(std::uint64_t seed, bool is_traced)
     : seed_(seed), is_traced_(is_traced), random_(seed * 2 + 1) {
-  character_.busy_per_mille = std::array{30, 200, 1000}[Below(3)];
+  character_.busy_per_mille = std::array{15, 150, 1000}[Below(3)];
   character_.disturbance = std::array{20, 40, 60}[Below(3)] * kMillisecond;
   character_.crash_per_mille = std::array{4, 15, 40}[Below(3)];
   character_.link_per_mille = std::array{15, 70, 200}[Below(3)];
--- a/tests/support/consensus_schedule.h
+++ b/tests/support/consensus_schedule.h
@@ -113,6 +113,7 @@
   // Faults and operators.
   void Disturb();
   void ChangeLinks();
+  void CutFromLeader(const node& leader);
   void CrashSomeone();
   void CrashVoter(node& crashed);
   void WipeSomeone();
--- a/tests/unit/consensus/core_test.cpp
+++ b/tests/unit/consensus/core_test.cpp
@@ -83,6 +83,19 @@
   CPPUNIT_ASSERT(core.Take().messages.front().is_granted);
 });
 
+// Guards against a vote right after a restart: the member may have answered a leader, which still
+// holds its lease because of that answer.
+const test_table kRestarted("consensus core", "a member that has just started grants no vote", [] {
+  consensus_core core = MakeFollower();
+  raft_message request = MakeRequest(message_kind::kVote, 4);
+  request.index = 5;
+  request.index_term = 3;
+  core.Receive(request, kStart + std::chrono::milliseconds(699));
+  CPPUNIT_ASSERT(!core.Take().messages.front().is_granted);
+  core.Receive(request, kStart + std::chrono::milliseconds(701));
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), core.Take().write->state->voted_for);
+});
+
 // Guards against a replica on an empty disk that answers for the one before it.
 const test_table kOtherId("consensus core", "a message for a former replica id is ignored", [] {
   consensus_core core = MakeFollower();
