Prove the replacement of a control VM with a new disk

The test removes a member whose folder was wiped, adds it as a learner, promotes it, and loses a second member right after: control goes on, so the vote is real. All by corianderhoist-ctl.

--- a/tests/process/control_test.cpp
+++ b/tests/process/control_test.cpp
@@ -379,6 +379,34 @@
   CPPUNIT_ASSERT(Answered(client->Send(withdrawal)).pending.empty());
 });
 
+// Guards against a replaced member that counts for the majority before it holds the log, or never:
+// the next loss right after the repair must not stop control.
+const test_table kReplaced("control process", "a member with a new disk takes over a vote", [] {
+  control_group group;
+  group.StartAll();
+  fleet& processes = group.Processes();
+  Committed(group.Operator()->Send(RulesChange(0, {}, {kService})));
+  const std::vector<std::string> followers = group.Followers();
+  const std::string& replaced = followers[0];
+  processes.Process(replaced).Kill();
+  processes.WipeData(replaced);
+  CPPUNIT_ASSERT_EQUAL(0, processes.Ctl({"member", "remove", replaced}).exit_code);
+  processes.Start(replaced);
+  Require("the member is added as a learner", [&] {
+    const std::string address = FormatEndpoint(group.AddressOf(replaced));
+    return processes.Ctl({"member", "add", replaced, address}).exit_code == 0;
+  });
+  Require("the member holds the log and gets a vote", [&] {
+    return processes.Ctl({"member", "promote", replaced}).exit_code == 0;
+  });
+  processes.Process(followers[1]).Kill();
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t(2), Committed(group.Operator()->Send(ReleaseChange())));
+  const program_output list = processes.Ctl({"member", "list"});
+  CPPUNIT_ASSERT_EQUAL(0, list.exit_code);
+  CPPUNIT_ASSERT_MESSAGE(list.output,
+                         list.output.find(followers[1] + ": no answer") != std::string::npos);
+});
+
 // Guards against a key that can be read from a log, a dump or a data folder.
 const test_table kSecrets("control process", "a key is printed once and kept nowhere", [] {
   control_group group;
