--- a/src/http/upstream_exchange.cpp
+++ b/src/http/upstream_exchange.cpp
@@ -105,7 +105,7 @@
 
 void upstream_exchange::OnReadable() {
   const auto keep_alive = shared_from_this();
-  if (!is_sent_ && !has_ended_) {
+  if (!is_sent_ && !has_ended_ && socket_->bytesAvailable() > 0) {
     Finish(attempt_result::kConnectFailed, "the upstream sent bytes before the request");
   }
   while (!has_ended_ && !is_paused_ && socket_->bytesAvailable() > 0) {
