--- a/tests/process/serving_test.cpp
+++ b/tests/process/serving_test.cpp
@@ -254,6 +254,7 @@
       std::atomic<int> served = 0;
       std::atomic<int> foreign = 0;
       std::vector<std::thread> callers;
+      callers.reserve(8);
       const endpoint address = fixture.Callers();
       for (int caller = 0; caller < 8; ++caller) {
         callers.emplace_back([&, caller] {
