--- a/src/coordinator/coordinator_core.h
+++ b/src/coordinator/coordinator_core.h
@@ -21,6 +21,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -65,6 +66,12 @@
   void Announce(const announcement& news, const rpc_callback<empty_message>& reply);
   void Session(const session_request& renewal, const rpc_callback<empty_message>& reply);
 
+  /// Observes each token that a request takes, with the time by this member's clock. For tests;
+  /// must be set before the first call.
+  void OnToken(std::function<void(const std::string& request_id, steady_time at)> observer) {
+    on_token_ = std::move(observer);
+  }
+
   /// Periodic work; should be called every `kTickInterval`.
   void Tick();
   /// To be called from the observer of the region's state.
@@ -94,6 +101,7 @@
     bool is_home = false;
     bool is_suspect = false;
     bool has_token = false;
+    std::optional<steady_time> token_asked;  // Other waits do not shorten the one for a token.
   };
   using call_ptr = std::shared_ptr<call>;
   using board_map = std::map<std::string, service_board>;
@@ -110,6 +118,7 @@
   void CheckHome(const call_ptr& subject);
   void TakeToken(const call_ptr& subject);
   void UseReservation(const call_ptr& subject, std::uint64_t epoch, steady_time ready);
+  void UseToken(const call_ptr& subject, steady_time at);
   void SeekSlot(const call_ptr& subject);
   void SendElsewhere(const call_ptr& subject, const std::string& region);
   void OnSlot(const call_ptr& subject, slot_outcome outcome);
@@ -147,6 +156,7 @@
   region_log& log_;
   const clock_source& clock_;
   const scheduler after_;
+  std::function<void(const std::string&, steady_time)> on_token_;
   const std::shared_ptr<log_writer> writer_;
   std::atomic<bool> is_draining_ = false;
   std::atomic<std::uint64_t> term_ = 0;  // Of the present soft state; 0 when there is none.
