--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -87,7 +87,7 @@
   what.connect_timeout = std::clamp(Remaining(), milliseconds(1), kConnectTimeout);
   // The upstream may close an idle connection at the moment of its reuse; for a request that must
   // not be repeated that would leave the outcome unknown.
-  what.may_reuse = routed_.route->run == route_run::kIdempotent && attempt_ == 1;
+  what.may_reuse = routed_.route->run == route_run::kIdempotent && attempts_ == 1;
   what.idle_connections = grant_.idle_connections;
   attempt_started_at_ = steady_clock::now();
   exchange_ = std::make_shared<upstream_exchange>(
@@ -101,7 +101,7 @@
 
 // An attempt that can be repeated elsewhere gets half of the remaining time.
 void request_run::LimitAttempt() {
-  if (routed_.route->run != route_run::kIdempotent || attempt_ >= kMaxAttempts) {
+  if (routed_.route->run != route_run::kIdempotent || attempts_ >= kMaxAttempts) {
     return;
   }
   if (!attempt_timer_) {
@@ -114,14 +114,17 @@
 }
 
 void request_run::OnAttemptTooSlow() {
-  if (has_ended_ || answer_ || !exchange_ || !CanRetry() || !context_.retries.TryTake()) {
+  if (has_ended_ || answer_ || !exchange_ || !CanRetry(attempt_result::kTimeout) ||
+      !context_.retries.TryTake()) {
     return;
   }
   const bool is_sent = exchange_->IsSent();
   exchange_->Cancel();
-  Complete(is_sent ? attempt_result::kTimeout : attempt_result::kConnectFailed, is_sent);
-  possible_run_ = refusal{error_kind::kUpstreamTimeout, "no answer from the upstream in time", {}};
-  TryRetry();
+  if (is_sent) {
+    possible_run_ =
+        refusal{error_kind::kUpstreamTimeout, "no answer from the upstream in time", {}};
+  }
+  Retry(is_sent ? attempt_result::kTimeout : attempt_result::kConnectFailed, is_sent);
 }
 
 void request_run::OnHead(answer_head head) {
@@ -129,7 +132,8 @@
     OnShed(head);
     return;
   }
-  if (head.status >= kFirstServerError && CanRetry() && context_.retries.TryTake()) {
+  if (head.status >= kFirstServerError && CanRetry(attempt_result::kServerError) &&
+      context_.retries.TryTake()) {
     OnServerError();
     return;
   }
@@ -145,20 +149,19 @@
 
 void request_run::OnShed(const answer_head& head) {
   exchange_->Cancel();
-  Complete(attempt_result::kShed, false);
-  if (CanRetry() && context_.retries.TryTake()) {
-    TryRetry();
+  if (CanRetry(attempt_result::kShed) && context_.retries.TryTake()) {
+    Retry(attempt_result::kShed, false);
     return;
   }
+  Complete(attempt_result::kShed, false);
   Refuse(error_kind::kUpstreamShedding, "the upstream declined the request for load",
          RetryAfterOf(head));
 }
 
 void request_run::OnServerError() {
   exchange_->Cancel();
-  Complete(attempt_result::kServerError, false);
   possible_run_ = refusal{error_kind::kUpstreamBroken, "the upstream failed", {}};
-  TryRetry();
+  Retry(attempt_result::kServerError, false);
 }
 
 void request_run::OnBody(std::string_view part) {
@@ -198,9 +201,9 @@
 }
 
 void request_run::OnFailedAttempt(const exchange_end& end) {
-  Complete(end.result, false);
   const error_kind kind = KindOf(end.result);
   if (answer_) {
+    Complete(end.result, false);
     log_event(log_level::kInfo, "answer_broken")
         .Field("request_id", request_.id)
         .Field("workspace", routed_.workspace)
@@ -213,28 +216,41 @@
   if (!IsCertainlyNotRun(end.result)) {
     possible_run_ = refusal{kind, end.detail, {}};
   }
-  if (CanRetry() && context_.retries.TryTake()) {
-    TryRetry();
+  // A connection that failed has cost no upstream any work, so the budget does not apply.
+  const bool is_unsent = end.result == attempt_result::kConnectFailed;
+  if (CanRetry(end.result) && (is_unsent || context_.retries.TryTake())) {
+    Retry(end.result, false);
     return;
   }
+  Complete(end.result, false);
   Refuse(kind, end.detail);
 }
 
-bool request_run::CanRetry() const {
-  return routed_.route->run == route_run::kIdempotent && !answer_ && !has_ended_ &&
-         !has_caller_left_ && attempt_ < kMaxAttempts && Remaining() > kShortestAttempt;
+bool request_run::CanRetry(attempt_result last) const {
+  const bool may_run_again =
+      routed_.route->run == route_run::kIdempotent || IsCertainlyNotRun(last);
+  return may_run_again && !answer_ && !has_ended_ && !has_caller_left_ &&
+         attempts_ < kMaxAttempts && Remaining() > kShortestAttempt;
 }
 
-// Sends the request to another upstream. Only for requests that may run more than once.
-bool request_run::TryRetry() {
+// Reports the failed attempt and sends the request to another upstream.
+void request_run::Retry(attempt_result last, bool is_upstream_busy) {
   metrics::Instance().Counter("requests.retried").Add();
-  avoid_.push_back(grant_.upstream);
-  ++attempt_;
   // The exchange may be the sender of the current event.
   worker_.loop.Post([old = std::exchange(exchange_, nullptr)] {});
-  grant_ = {};
-  Acquire(routed_.home_region, {});
-  return true;
+  avoid_.push_back(grant_.upstream);
+  ++attempts_;
+  if (!IsOrder()) {
+    Complete(last, is_upstream_busy);
+    AskAgain();
+    return;
+  }
+  // The record of an order must be abandoned before it can begin again.
+  Complete(last, is_upstream_busy, [self = shared_from_this()] {
+    if (!self->has_ended_) {
+      self->AskAgain();
+    }
+  });
 }
 
 complete_request request_run::MakeComplete(attempt_result outcome) const {
@@ -256,7 +272,9 @@
 
 // Reports to the coordinator that issued the lease, and to the home coordinator when that is
 // another one: it keeps the record and counts crashes.
-void request_run::Complete(attempt_result outcome, bool is_upstream_busy) {
+void request_run::Complete(attempt_result outcome,
+                           bool is_upstream_busy,
+                           const std::function<void()>& done) {
   complete_request message = MakeComplete(outcome);
   message.is_upstream_busy = is_upstream_busy;
   complete_request home_message = message;
@@ -271,11 +289,11 @@
     home_message.lease = grant_.admission;  // Names the attempt in the record of an order.
   }
   if (grant_region_ == routed_.home_region) {
-    SendComplete(grant_region_, std::move(home_message));
+    SendComplete(grant_region_, std::move(home_message), done);
     return;
   }
-  SendComplete(grant_region_, std::move(message));
-  SendComplete(routed_.home_region, std::move(home_message));
+  SendComplete(grant_region_, std::move(message), {});
+  SendComplete(routed_.home_region, std::move(home_message), done);
 }
 
 // The home has begun a record for an order that cannot go on in the place's region.
@@ -286,10 +304,12 @@
   complete_request message = MakeComplete(attempt_result::kNotSent);
   message.lease = grant_.admission;  // Names the attempt in the record.
   message.idempotency_key = idempotency_key_;
-  SendComplete(routed_.home_region, std::move(message));
+  SendComplete(routed_.home_region, std::move(message), {});
 }
 
-void request_run::SendComplete(const std::string& region, complete_request message) {
+void request_run::SendComplete(const std::string& region,
+                               complete_request message,
+                               const std::function<void()>& done) {
   coordinator_client* coordinator = worker_.CoordinatorOf(region);
   if (!coordinator) {
     return;
@@ -299,7 +319,7 @@
   coordinator->Call<empty_message>(
       {"coordinator.complete", [encoded] { return *encoded; }, kCompleteTry,
        steady_clock::now() + kCompleteDeadline},
-      [&context = context_, region, lease = message.lease, id = message.request_id](
+      [&context = context_, region, lease = message.lease, id = message.request_id, done](
           const rpc_result<empty_message>& reply, steady_time) {
         --context.pending_completes;
         context.leases.Remove(region, lease);
@@ -309,6 +329,9 @@
               .Field("region", region)
               .Field("cause", failure->detail);
         }
+        if (done) {
+          done();
+        }
       });
 }
 
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -100,7 +100,7 @@
 }
 
 std::string request_run::AttemptId() const {
-  return request_.id + "/" + std::to_string(attempt_);
+  return request_.id + "/" + std::to_string(decisions_);
 }
 
 acquire_request request_run::MakeAcquire(const std::string& admission) const {
@@ -165,7 +165,7 @@
   if (grant_.replay) {
     Replay(*grant_.replay);
   } else if (steady_clock::now() - sent_at > kDecisionLifetime) {
-    AcquireAgain();
+    OnOutdatedDecision();
   } else if (grant_.lease.empty()) {
     Acquire(grant_.next_region, grant_.admission);
   } else {
@@ -173,26 +173,39 @@
   }
 }
 
-// Gives an outdated decision back and asks again under a new id.
-void request_run::AcquireAgain() {
+// Gives the decision back and asks again.
+void request_run::OnOutdatedDecision() {
   metrics::Instance().Counter("requests.outdated_decisions").Add();
-  Complete(attempt_result::kNotSent, false);
-  ++attempt_;
+  Complete(attempt_result::kNotSent, false, [self = shared_from_this()] {
+    if (!self->has_ended_) {
+      self->AskAgain();
+    }
+  });
+}
+
+// A repeated question with the same id would get the first decision.
+void request_run::AskAgain() {
+  ++decisions_;
+  grant_ = {};
   Acquire(routed_.home_region, {});
 }
 
+// The configuration of this VM is too old for the coordinator; it arrives by a poll of its own.
+void request_run::OnConfigBehind() {
+  QTimer::singleShot(kConfigPause, worker_.loop.Context(), [self = shared_from_this()] {
+    if (!self->has_ended_ && self->TryPrepare()) {
+      self->AskAgain();
+    }
+  });
+}
+
 void request_run::OnRefusedByCoordinator(const rpc_failure& failure) {
   AbandonRecord();
   if (has_ended_) {
     return;
   }
   if (failure.kind == error_kind::kConfigBehind && Remaining() > kConfigPause) {
-    QTimer::singleShot(kConfigPause, worker_.loop.Context(), [self = shared_from_this()] {
-      if (!self->has_ended_ && self->TryPrepare()) {
-        ++self->attempt_;
-        self->Acquire(self->routed_.home_region, {});
-      }
-    });
+    OnConfigBehind();
     return;
   }
   const error_kind kind =
