Let an acquire that is sent again take the place of the former call

Cause: an entry VM gives one try of acquire 2 s, while the coordinator queues a request until its deadline. Each further try took another token and another place in the queue, and a slot granted to an abandoned try stayed taken until the session was renewed. Ruled out: a shorter wait in the queue, which costs the request its turn.

--- a/src/coordinator/coordinator_acquire.cpp
+++ b/src/coordinator/coordinator_acquire.cpp
@@ -5,6 +5,7 @@
 #include "observe/metrics.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace corianderhoist {
 namespace {
@@ -88,7 +89,7 @@
   }
   const std::string session = subject->request.entry_vm + '/' + subject->request.session;
   sessions_.With(session, [&](session_table& table) { table.Touch(session, subject->started); });
-  if (AnswerRepeated(subject)) {
+  if (JoinOpenCall(subject) || AnswerRepeated(subject)) {
     return;
   }
   if (subject->is_home) {
@@ -142,6 +143,40 @@
   });
 }
 
+// An entry VM sends a call again when it has no answer for some seconds, for example while the
+// request waits in the queue. The call then takes the place of the former one, which keeps its
+// token and its turn.
+bool coordinator_core::JoinOpenCall(const call_ptr& subject) {
+  const std::string& id = subject->request.request_id;
+  rpc_callback<acquire_reply> former;
+  const bool is_joined = open_calls_.With(id, [&](auto& open) {
+    std::weak_ptr<call>& known = open[id];
+    const call_ptr waiting = known.lock();
+    if (!waiting || waiting->term != subject->term || !waiting->reply) {
+      known = subject;
+      return false;
+    }
+    former = std::exchange(waiting->reply, std::move(subject->reply));
+    return true;
+  });
+  if (former) {
+    former(Failure(error_kind::kTimeout, "the call was sent again"));
+  }
+  return is_joined;
+}
+
+// Ends the call: a later one with its id is a new call.
+rpc_callback<acquire_reply> coordinator_core::TakeReply(const call_ptr& subject) {
+  const std::string& id = subject->request.request_id;
+  return open_calls_.With(id, [&](auto& open) {
+    const auto found = open.find(id);
+    if (found != open.end() && found->second.lock() == subject) {
+      open.erase(found);
+    }
+    return std::exchange(subject->reply, nullptr);
+  });
+}
+
 // The first decision stands while its lease runs, so that a call that is sent again after a lost
 // reply takes no second slot and no second token.
 bool coordinator_core::AnswerRepeated(const call_ptr& subject) {
@@ -450,7 +485,7 @@
   granted.Add();
   latency.Add(
       std::chrono::duration_cast<std::chrono::microseconds>(clock_.Now() - subject->started));
-  subject->reply(std::move(reply));
+  TakeReply(subject)(std::move(reply));
 }
 
 // The request was not run: what it took goes back.
@@ -471,7 +506,7 @@
     });
   }
   metrics::Instance().Counter("acquire_refused_" + std::string(AnswerFor(failure.kind).name)).Add();
-  subject->reply(std::move(failure));
+  TakeReply(subject)(std::move(failure));
 }
 
 }  // namespace corianderhoist
--- a/src/coordinator/coordinator_core.h
+++ b/src/coordinator/coordinator_core.h
@@ -114,6 +114,8 @@
 
   // Steps of `Acquire`, in order.
   std::optional<rpc_failure> CheckRules(call& subject) const;
+  bool JoinOpenCall(const call_ptr& subject);
+  rpc_callback<acquire_reply> TakeReply(const call_ptr& subject);
   bool AnswerRepeated(const call_ptr& subject);
   void CheckHome(const call_ptr& subject);
   void TakeToken(const call_ptr& subject);
@@ -171,6 +173,7 @@
   sharded<crash_registry> crashes_;
   sharded<session_table> sessions_;
   sharded<admission_book> admissions_;
+  sharded<std::unordered_map<std::string, std::weak_ptr<call>>> open_calls_;  // By request id.
   sharded<std::multiset<std::string>> endings_;  // Records whose end is being committed.
 };
 
--- a/tests/unit/coordinator/acquire_test.cpp
+++ b/tests/unit/coordinator/acquire_test.cpp
@@ -33,6 +33,39 @@
   return std::get<acquire_reply>(reply);
 }
 
+// Guards against a second token and a slot that nobody uses when an entry VM asks again while its
+// request waits in the queue.
+const test_table kSentAgain("acquire",
+                            "a call that is sent again from the queue keeps its turn",
+                            [] {
+                              loaded_fixture fixture;
+                              std::vector<std::pair<acquire_request, acquire_reply>> running;
+                              for (int i = 0; i < 16; ++i) {
+                                const acquire_request request = fixture.Request("acme", "stock");
+                                running.emplace_back(request, Granted(fixture.Acquire(request)));
+                              }
+                              const acquire_request waiting = fixture.Request("small", "stock");
+                              int tokens = 0;
+                              fixture.core->OnToken([&](const std::string& id, steady_time) {
+                                tokens += id == waiting.request_id;
+                              });
+                              for (int i = 0; i < 3; ++i) {
+                                fixture.Start(waiting);
+                                fixture.Run(seconds(1));
+                              }
+                              CPPUNIT_ASSERT_EQUAL(1, tokens);
+                              fixture.Complete(running[0].first, running[0].second,
+                                               attempt_result::kSuccess);
+                              fixture.Run(milliseconds(100));
+                              const auto reply = fixture.ReplyTo(waiting.request_id);
+                              CPPUNIT_ASSERT(reply.has_value());
+                              fixture.Complete(waiting, Granted(*reply), attempt_result::kSuccess);
+                              fixture.Run(milliseconds(100));
+                              // The slot is free again: no second entry of the queue took it.
+                              Granted(fixture.Acquire(fixture.Request("acme", "stock"),
+                                                      milliseconds(100)));
+                            });
+
 struct refusal_case {
   std::string name;
   std::function<void(loaded_fixture&, acquire_request&)> prepare;
