--- a/tests/support/fleet_operator.cpp
+++ b/tests/support/fleet_operator.cpp
@@ -87,7 +87,7 @@
 
 fleet::workspace_key fleet::GiveKey(const std::string& workspace) {
   const program_output output = Change({"key", "give", workspace});
-  const workspace_key key{LineValue(output.output, "key_id"), LineValue(output.output, "key")};
+  workspace_key key{LineValue(output.output, "key_id"), LineValue(output.output, "key")};
   if (output.exit_code != kInForce || key.id.empty() || key.text.empty()) {
     throw std::runtime_error("no key is given: " + output.output + output.errors);
   }
