Choose an upstream that has shed after its peers for one second

Cause: with free slots at its peers, the dispatcher went on to offer work to an upstream that declines half of it; each decline costs a try and a part of the retry budget. Ruled out: retries without budget, which multiply the load when all upstreams shed.

--- a/src/coordinator/service_board.cpp
+++ b/src/coordinator/service_board.cpp
@@ -25,6 +25,9 @@
 // in 65 runs of the experiments.
 constexpr milliseconds kColdStart(10'000);
 constexpr milliseconds kSweepInterval(250);
+// An upstream that has shed a request is chosen after its peers for this long: it is loaded by more
+// than the slots that it announced, and the next request would cost another try.
+constexpr milliseconds kShedAvoidance(1000);
 // The deadline of a request under a former leader's lease is not known; this is the longest time
 // for which a record stays begun.
 constexpr milliseconds kAdoptedDeadline = kBegunLimit;
@@ -131,11 +134,11 @@
 }
 
 // The first allowed place counts most; there, a due trial goes first, then upstreams without
-// suspicion, then the one with the largest share of free slots, then the one that has waited
-// longest.
+// suspicion, then those that have not shed lately, then the one with the largest share of free
+// slots, then the one that has waited longest.
 service_board::choice service_board::Choose(const slot_request& request, steady_time now) const {
   choice best;
-  std::tuple<bool, std::size_t, bool, bool, double, std::uint64_t> best_rank;
+  std::tuple<bool, std::size_t, bool, bool, bool, double, std::uint64_t> best_rank;
   for (const auto& [name, entry] : directory_.Entries()) {
     const std::optional<std::size_t> rank = RankOf(entry.last, request.places);
     if (!rank) {
@@ -147,7 +150,8 @@
     }
     const double load = static_cast<double>(slots_.InUse(entry.Id())) / entry.last.slots;
     const std::tuple rank_of_candidate(Contains(request.avoid, name), *rank, !candidate->is_trial,
-                                       judge_.IsSuspected(entry.Id()), load, LastChoice(name));
+                                       judge_.IsSuspected(entry.Id()), HasShedLately(name, now),
+                                       load, LastChoice(name));
     if (best.upstream == nullptr || rank_of_candidate < best_rank) {
       best = *candidate;
       best_rank = rank_of_candidate;
@@ -161,6 +165,11 @@
   return found == last_choice_.end() ? 0 : found->second;
 }
 
+bool service_board::HasShedLately(const std::string& upstream, steady_time now) const {
+  const auto found = last_shed_.find(upstream);
+  return found != last_shed_.end() && now - found->second < kShedAvoidance;
+}
+
 slot_grant service_board::Open(const slot_request& request, const choice& chosen, steady_time now) {
   slot_lease lease;
   lease.upstream = chosen.upstream->Id();
@@ -253,6 +262,9 @@
     return std::nullopt;
   }
   LearnCost(*ended, now);
+  if (report.outcome == attempt_result::kShed) {
+    last_shed_[ended->upstream.name] = now;
+  }
   const upstream_entry* entry = directory_.Find(ended->upstream);
   if (entry != nullptr && entry->last.state != upstream_state::kLeaving) {
     judge_.Observe(
@@ -333,6 +345,8 @@
   if (now - swept_at_ >= kSweepInterval) {
     swept_at_ = now;
     directory_.Sweep(now);
+    std::erase_if(last_shed_,
+                  [&](const auto& each) { return now - each.second >= kShedAvoidance; });
     std::erase_if(last_choice_,
                   [&](const auto& each) { return !directory_.Entries().contains(each.first); });
     for (slot_lease& each : slots_.Sweep(now, is_alive)) {
--- a/src/coordinator/service_board.h
+++ b/src/coordinator/service_board.h
@@ -122,6 +122,7 @@
 
   choice Choose(const slot_request& request, steady_time now) const;
   std::uint64_t LastChoice(const std::string& upstream) const;
+  bool HasShedLately(const std::string& upstream, steady_time now) const;
   std::optional<choice> Consider(const upstream_entry& entry,
                                  const slot_request& request,
                                  steady_time now) const;
@@ -140,6 +141,7 @@
   health_judge judge_;
   fair_queue<slot_request> queue_;
   std::map<std::string, std::uint64_t> last_choice_;  // Number of the last grant by upstream.
+  std::map<std::string, steady_time> last_shed_;      // By upstream.
   std::uint64_t choices_ = 0;
   std::map<std::string, double> slot_milliseconds_;  // Moving mean by workspace.
   steady_time swept_at_;
--- a/tests/unit/coordinator/acquire_test.cpp
+++ b/tests/unit/coordinator/acquire_test.cpp
@@ -66,6 +66,23 @@
                                                       milliseconds(100)));
                             });
 
+// Guards against requests that are tried, one after the other, at an upstream that sheds.
+const test_table kShedAvoided("acquire", "an upstream that has shed is chosen after its peers", [] {
+  coordinator_fixture fixture(kRules, {"acme"});
+  fixture.AnnounceUpstreams("orders", 2, 4);
+  fixture.Run(seconds(3));
+  const acquire_request first = fixture.Request("acme", "orders");
+  const acquire_reply shed = Granted(fixture.Acquire(first));
+  fixture.Complete(first, shed, attempt_result::kShed);
+  for (int i = 0; i < 4; ++i) {
+    const acquire_reply next = Granted(fixture.Acquire(fixture.Request("acme", "orders")));
+    CPPUNIT_ASSERT(next.upstream != shed.upstream);
+  }
+  // The peer is full now.
+  const acquire_reply last = Granted(fixture.Acquire(fixture.Request("acme", "orders")));
+  CPPUNIT_ASSERT_EQUAL(shed.upstream, last.upstream);
+});
+
 struct refusal_case {
   std::string name;
   std::function<void(loaded_fixture&, acquire_request&)> prepare;
