Expect all three attempts of an order that every upstream sheds

Cause: an order that was shed is tried at most three times, and the refusal reaches the caller before the outcome of the last attempt is reported. Ruled out: the retry budget, which starts with a reserve of ten.

--- a/tests/process/serving_test.cpp
+++ b/tests/process/serving_test.cpp
@@ -68,7 +68,7 @@
         {"whose upstream fails", R"({"fail_share":1})", 500, "", "", 1,
          attempt_result::kServerError},
         {"that the upstream sheds", R"({"shedding":true})", 503, "upstream_shedding", "not_run", 0,
-         attempt_result::kShed, 2},
+         attempt_result::kShed, 3},
     },
     std::function([](const order_case& row) {
       entry_fixture fixture({.upstreams = 2});
