--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -187,6 +187,8 @@
     OnFailedAttempt(end);
     return;
   }
+  static latency_metric& exchange = metrics::Instance().Latency("requests.exchange");
+  exchange.Add(duration_cast<microseconds>(steady_clock::now() - attempt_started_at_));
   Complete(end.result, false);
   static counter& answered = metrics::Instance().Counter("requests.answered");
   answered.Add();
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -146,6 +146,9 @@
 void request_run::OnAcquired(const std::string& region,
                              const rpc_result<acquire_reply>& reply,
                              steady_time sent_at) {
+  static latency_metric& admission = metrics::Instance().Latency("requests.admission");
+  admission.Add(
+      std::chrono::duration_cast<std::chrono::microseconds>(steady_clock::now() - sent_at));
   if (const auto* failure = std::get_if<rpc_failure>(&reply)) {
     OnRefusedByCoordinator(*failure);
     return;
