Test a frozen leader and an order that another region serves

The path over two regions (admission at home, slot elsewhere) and a coordinator leader that is frozen and wakes up had no test with real processes. The first also compares the replay of the order over a third region's entry VM and counts one execution.

--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -197,6 +197,42 @@
   CPPUNIT_ASSERT_EQUAL(std::string(), orders.FindFault());
 });
 
+// Guards against a leader that wakes up after others took over, and still decides.
+const test_table kLeaderFrozen("fleet", "freeze_of_the_leader_doubles_no_order", [] {
+  served_fleet served(SmallPlan());
+  order_stream orders(served.all, {"entry-centre-1"}, served.Key("aprons"), 4);
+  orders.AwaitAnswered(40);
+  child_process& leader = served.all.Process(served.all.LeaderOf("centre"));
+  leader.SendSignal(SIGSTOP);
+  orders.AwaitAnswered(120);
+  leader.SendSignal(SIGCONT);
+  orders.AwaitAnswered(200);
+  orders.Stop();
+  CPPUNIT_ASSERT_EQUAL(std::string(), orders.FindFault());
+});
+
+// Guards against an order that is lost or doubled when its home region admits it and another
+// allowed region serves it.
+const test_table kSecondRegion("fleet", "second_region_serves_when_the_home_has_no_upstream", [] {
+  served_fleet served(SmallPlan());
+  for (const std::string& upstream : served.all.Names("upstream-orders-west-")) {
+    served.all.Process(upstream).Kill();
+  }
+  fleet_caller near(served.all, "entry-west-1");
+  fleet_caller far(served.all, "entry-centre-1");
+  http_reply first;
+  CPPUNIT_ASSERT(WaitUntil([&] {
+    first = near.Order(served.Key("shelving"), "/orders", "walnut", "{}");
+    return first.status == 200;
+  }));
+  CPPUNIT_ASSERT_EQUAL(std::string("east"), fleet_caller::PlaceOf(first).substr(0, 4));
+  const http_reply again = far.Order(served.Key("shelving"), "/orders", "walnut", "{}");
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(again.body, 200, again.status);
+  CPPUNIT_ASSERT_EQUAL(first.body, again.body);
+  CPPUNIT_ASSERT_EQUAL(std::string("true"), again.Header("corianderhoist-replayed"));
+  CPPUNIT_ASSERT_EQUAL(1, served.all.Executions("walnut"));
+});
+
 // Guards against a resend over another entry VM that runs the order again.
 const test_table kEntryKilled("fleet", "kill_of_an_entry_vm_doubles_no_order", [] {
   fleet_plan plan = SmallPlan();
