State once which outcomes mean that a request was not run

The rule that allows an order to be tried again stood in five places: the entry VM, the coordinator and three files of the experiments. A change to one of them would have let an order run twice or the experiments drift from the product. WasNotRun and IsWholeAnswer now stand beside attempt_result.

--- a/src/coordinator/coordinator_complete.cpp
+++ b/src/coordinator/coordinator_complete.cpp
@@ -9,19 +9,10 @@
 
 constexpr std::size_t kLongestStoredBody = std::size_t{256} * 1024;
 
-bool WasNotRun(attempt_result outcome) {
-  return outcome == attempt_result::kNotSent || outcome == attempt_result::kConnectFailed ||
-         outcome == attempt_result::kShed;
-}
-
 std::string EndingName(const std::string& workspace, const std::string& key) {
   return workspace + '\n' + key;
 }
 
-bool IsWholeAnswer(attempt_result outcome) {
-  return outcome == attempt_result::kSuccess || outcome == attempt_result::kServerError;
-}
-
 record_ending EndingOf(attempt_result outcome) {
   if (WasNotRun(outcome)) {
     return record_ending::kAbandoned;
--- a/src/coordinator/messages.h
+++ b/src/coordinator/messages.h
@@ -140,6 +140,17 @@
   kCancelled,       ///< The caller left.
 };
 
+/// True when the upstream has certainly not run the request: only then may an order be tried again.
+inline bool WasNotRun(attempt_result outcome) {
+  return outcome == attempt_result::kNotSent || outcome == attempt_result::kConnectFailed ||
+         outcome == attempt_result::kShed;
+}
+
+/// True when the upstream has sent a complete answer, whatever its status.
+inline bool IsWholeAnswer(attempt_result outcome) {
+  return outcome == attempt_result::kSuccess || outcome == attempt_result::kServerError;
+}
+
 /// `coordinator.complete`: the end of an attempt. Repeating it has no further effect.
 struct complete_request {
   std::string request_id;
--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -60,10 +60,6 @@
   }
 }
 
-bool IsCertainlyNotRun(attempt_result result) {
-  return AnswerFor(KindOf(result)).outcome == request_outcome::kNotRun;
-}
-
 }  // namespace
 
 void request_run::Attempt() {
@@ -181,8 +177,7 @@
 }
 
 void request_run::OnEnd(const exchange_end& end) {
-  const bool is_whole =
-      end.result == attempt_result::kSuccess || end.result == attempt_result::kServerError;
+  const bool is_whole = IsWholeAnswer(end.result);
   if (!is_whole) {
     OnFailedAttempt(end);
     return;
@@ -215,7 +210,7 @@
     Finish();
     return;
   }
-  if (!IsCertainlyNotRun(end.result)) {
+  if (!WasNotRun(end.result)) {
     possible_run_ = refusal{kind, end.detail, {}};
   }
   // A connection that failed has cost no upstream any work, so the budget does not apply.
@@ -229,8 +224,7 @@
 }
 
 bool request_run::CanRetry(attempt_result last) const {
-  const bool may_run_again =
-      routed_.route->run == route_run::kIdempotent || IsCertainlyNotRun(last);
+  const bool may_run_again = routed_.route->run == route_run::kIdempotent || WasNotRun(last);
   return may_run_again && !answer_ && !has_ended_ && !has_caller_left_ &&
          attempts_ < kMaxAttempts && Remaining() > kShortestAttempt;
 }
@@ -281,8 +275,7 @@
   message.is_upstream_busy = is_upstream_busy;
   complete_request home_message = message;
   home_message.idempotency_key = idempotency_key_;
-  const bool is_whole =
-      outcome == attempt_result::kSuccess || outcome == attempt_result::kServerError;
+  const bool is_whole = IsWholeAnswer(outcome);
   if (IsOrder() && is_whole && answer_) {
     home_message.answer = ToStored(*answer_, std::exchange(answer_body_, {}));
     home_message.answer->is_complete = is_answer_kept_;
--- a/src/experiment/experiment_run.cpp
+++ b/src/experiment/experiment_run.cpp
@@ -194,9 +194,7 @@
       Serve(request);
       return;
     }
-    const bool is_not_run = outcome == attempt_result::kShed ||
-                            outcome == attempt_result::kConnectFailed ||
-                            outcome == attempt_result::kNotSent;
+    const bool is_not_run = WasNotRun(outcome);
     request.may_have_run |= !is_not_run;
     if (world_.events.Now() < request.deadline && policy_->MayRetry(request, outcome)) {
       request.avoid.push_back(decision.upstream);
--- a/src/experiment/fleet_policy.cpp
+++ b/src/experiment/fleet_policy.cpp
@@ -27,11 +27,6 @@
   return "entry-" + std::to_string(vm);
 }
 
-bool WasNotRun(attempt_result outcome) {
-  return outcome == attempt_result::kNotSent || outcome == attempt_result::kConnectFailed ||
-         outcome == attempt_result::kShed;
-}
-
 }  // namespace
 
 fleet_policy::fleet_policy(sim_world& world) : world_(world), regions_(kSimRegions) {
@@ -304,8 +299,7 @@
 bool fleet_policy::MayRetry(const sim_request& request, attempt_result outcome) {
   const bool is_unsent =
       outcome == attempt_result::kConnectFailed || outcome == attempt_result::kNotSent;
-  const bool is_not_run = is_unsent || outcome == attempt_result::kShed;
-  return (request.is_idempotent || is_not_run) && request.attempt < kMostAttempts &&
+  return (request.is_idempotent || WasNotRun(outcome)) && request.attempt < kMostAttempts &&
          (is_unsent || budgets_[request.vm]->TryTake());
 }
 
--- a/src/experiment/vm_policy.cpp
+++ b/src/experiment/vm_policy.cpp
@@ -153,9 +153,7 @@
 }
 
 bool vm_policy::MayRetry(const sim_request& request, attempt_result outcome) {
-  const bool is_not_run = outcome == attempt_result::kShed ||
-                          outcome == attempt_result::kConnectFailed ||
-                          outcome == attempt_result::kNotSent;
+  const bool is_not_run = WasNotRun(outcome);
   return (request.is_idempotent || is_not_run) && request.attempt < kMostAttempts;
 }
 
