Count suspension in the clock, plain connections between processes, freshness of followers

std::chrono::steady_clock stands still while a machine is suspended, so leases measured by it outlive their grantor's. boot_clock reads CLOCK_BOOTTIME and is passed in where the entry VM and the HTTP server read the clock themselves.

Calls between processes work without TLS where the platform hands out no certificates, and a call that times out on a connection on which nothing arrives drops that connection.

A member of a group knows as of which moment its applied state is complete, without a call: the leader returns the follower's own time with an append that it makes while it holds the lease.

--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -1,11 +1,30 @@
 /// The clock interface, the process clock and a clock that tests advance by hand.
 #pragma once
 
+#include <time.h>
+
 #include <chrono>
 
 namespace corianderhoist {
 
-using steady_time = std::chrono::steady_clock::time_point;
+/// A clock of the standard's kind over CLOCK_BOOTTIME. `std::chrono::steady_clock` stands still
+/// while a machine is suspended, so a lease measured by it would outlive its grantor's.
+struct boot_clock {
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<boot_clock>;
+  static constexpr bool is_steady = true;
+
+  static time_point now() noexcept {
+    timespec value{};
+    ::clock_gettime(CLOCK_BOOTTIME, &value);
+    return time_point(std::chrono::seconds(value.tv_sec) +
+                      std::chrono::nanoseconds(value.tv_nsec));
+  }
+};
+
+using steady_time = boot_clock::time_point;
 using system_time = std::chrono::system_clock::time_point;
 
 /// Source of time. Decisions use `Now` (never jumps back); `WallNow` is for people and expiry
@@ -20,10 +39,16 @@
 /// The clocks of this machine.
 class process_clock final : public clock_source {
  public:
-  steady_time Now() const override { return std::chrono::steady_clock::now(); }
+  steady_time Now() const override { return boot_clock::now(); }
   system_time WallNow() const override { return std::chrono::system_clock::now(); }
 };
 
+/// The clocks of this machine, for code that is not handed a clock: timers of the plumbing.
+inline const clock_source& SystemClock() {
+  static const process_clock clock;
+  return clock;
+}
+
 /// A clock that stands still until `Advance` is called. Not thread safe.
 class manual_clock final : public clock_source {
  public:
--- a/src/consensus/core.cpp
+++ b/src/consensus/core.cpp
@@ -19,7 +19,9 @@
       now_(now),
       // The replica may have answered a leader just before it stopped. That leader's lease must
       // pass before this replica votes for another one.
-      heard_leader_(now) {
+      heard_leader_(now),
+      time_mark_(static_cast<std::int64_t>(random_() >> 2U)),
+      started_(now) {
   commit_ = taken_ = log_.SnapshotIndex();
   durable_ = log_.LastIndex();
   ResetElectionTimer();
@@ -135,6 +137,7 @@
   answer.call = request.call;
   answer.sent_at = request.sent_at;
   answer.read_round = request.read_round;
+  answer.follower_time = 0;
   return answer;
 }
 
@@ -263,6 +266,7 @@
   while (taken_ < commit_) {
     output_.committed.push_back(log_.At(++taken_));
   }
+  SettleFreshness();
 }
 
 }  // namespace corianderhoist
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -18,6 +18,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace corianderhoist {
@@ -93,6 +94,23 @@
   const core_log& Log() const { return log_; }
   /// End of the leader lease; the past when there is none.
   steady_time LeaseEnd() const;
+  /// The newest moment, on this member's clock, as of which the entries taken here are known to
+  /// include everything that was committed by then. The epoch when none is known.
+  ///
+  /// A follower's answer carries its time; the leader returns it with a later append that it makes
+  /// while it holds the lease. No other leader exists at that moment, so the commit index of that
+  /// append covers all that was committed when the follower sent its answer, however long the
+  /// append was on its way.
+  steady_time FreshAt() const;
+
+  /// What a leader knows of another member.
+  struct member_progress {
+    std::uint64_t replica_id = 0;
+    steady_time acknowledged{};  ///< Sending time of the newest message that it answered.
+    bool holds_log = false;      ///< Holds all committed entries.
+  };
+  /// Empty when not leading.
+  std::vector<member_progress> Progress() const;
 
  private:
   struct progress {
@@ -105,6 +123,7 @@
     std::uint64_t read_round = 0;
     std::uint64_t snapshot_index = 0;  ///< Under transfer; 0 for none.
     std::uint64_t snapshot_offset = 0;
+    std::int64_t follower_time = 0;  ///< From the newest answer.
   };
   struct pending_read {
     std::uint64_t token = 0;
@@ -156,6 +175,8 @@
   void FollowLeader(const raft_message& request);
   void StoreEntries(const raft_message& request);
   void RejectAppend(const raft_message& request);
+  void NoteFreshness(const raft_message& request);
+  void SettleFreshness();
   void OnAppendAnswer(const raft_message& answer);
   void OnSnapshot(const raft_message& request);
   void InstallSnapshot(const raft_message& request);
@@ -213,6 +234,13 @@
   std::deque<pending_read> reads_;
   std::optional<received_snapshot> receiving_;
 
+  /// Added to the times in answers: a time that an earlier life of this process sent is then far
+  /// from the present and cannot be taken for a time of this life.
+  const std::int64_t time_mark_;
+  const steady_time started_;
+  steady_time fresh_at_{};
+  std::optional<std::pair<std::uint64_t, steady_time>> pending_fresh_;  ///< Once taken up to there.
+
   std::map<std::string, std::uint64_t> first_ids_;  ///< First members that have no group yet.
   std::set<std::string> founded_;  ///< First members that have answered the founding.
 
--- a/src/consensus/core_replication.cpp
+++ b/src/consensus/core_replication.cpp
@@ -24,9 +24,11 @@
   StoreEntries(request);
   const std::uint64_t last = request.index + request.entries.size();
   CommitUpTo(std::min(request.commit_index, last));
+  NoteFreshness(request);
   raft_message answer = MakeAnswer(request, message_kind::kAppendAnswer);
   answer.is_granted = true;
   answer.index = last;
+  answer.follower_time = now_.time_since_epoch().count() + time_mark_;
   SendWhenDurable(std::move(answer));
 }
 
@@ -63,6 +65,38 @@
   }
 }
 
+void consensus_core::NoteFreshness(const raft_message& request) {
+  const steady_time echoed{steady_time::duration(request.follower_time - time_mark_)};
+  if (request.follower_time == 0 || echoed < started_ || echoed > now_) {
+    return;
+  }
+  if (!pending_fresh_) {  // An older one is kept: it comes true first.
+    pending_fresh_ = {request.commit_index, echoed};
+  }
+  SettleFreshness();
+}
+
+void consensus_core::SettleFreshness() {
+  if (pending_fresh_ && pending_fresh_->first <= taken_) {
+    fresh_at_ = std::max(fresh_at_, pending_fresh_->second);
+    pending_fresh_.reset();
+  }
+}
+
+steady_time consensus_core::FreshAt() const {
+  return IsLeader() && LeaseEnd() > now_ ? now_ : fresh_at_;
+}
+
+std::vector<consensus_core::member_progress> consensus_core::Progress() const {
+  std::vector<member_progress> all;
+  if (IsLeader()) {
+    for (const auto& [peer, state] : peers_) {
+      all.push_back({peer, state.acknowledged, state.match >= commit_});
+    }
+  }
+  return all;
+}
+
 // The answer names the last entry that can match, skipping the whole term of the conflict.
 void consensus_core::RejectAppend(const raft_message& request) {
   std::uint64_t hint = std::min(request.index - 1, log_.LastIndex());
@@ -167,6 +201,9 @@
   request.commit_index = commit_;
   request.sent_at = now_.time_since_epoch().count();
   request.read_round = read_round_;
+  if (const auto found = peers_.find(peer); found != peers_.end() && LeaseEnd() > now_) {
+    request.follower_time = found->second.follower_time;
+  }
   return request;
 }
 
@@ -226,8 +263,11 @@
     return nullptr;
   }
   progress& state = found->second;
-  state.acknowledged =
-      std::max(state.acknowledged, steady_time(steady_time::duration(answer.sent_at)));
+  const steady_time sent_at{steady_time::duration(answer.sent_at)};
+  if (sent_at >= state.acknowledged) {
+    state.acknowledged = sent_at;
+    state.follower_time = answer.follower_time;
+  }
   state.read_round = std::max(state.read_round, answer.read_round);
   return &state;
 }
--- a/src/consensus/message.h
+++ b/src/consensus/message.h
@@ -48,6 +48,10 @@
   std::int64_t sent_at = 0;
   std::uint64_t read_round = 0;
 
+  /// Answer to an append: time on the follower's clock in nanoseconds. The leader returns the newest
+  /// one with its next append, 0 while it holds no lease: see `consensus_core::FreshAt`.
+  std::int64_t follower_time = 0;
+
   /// Snapshot: a part of its data.
   std::uint64_t offset = 0;
   std::string data;
@@ -77,6 +81,7 @@
     visit(18, self.is_last_part);
     visit(19, self.membership_index);
     visit(20, self.members);
+    visit(21, self.follower_time);
   }
 };
 
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "consensus/core.h"
 #include "settings/settings_reader.h"
 #include "wire/rpc.h"
 
@@ -60,6 +61,10 @@
   std::uint64_t snapshot_index = 0;
   std::vector<std::string> voters;
   std::vector<std::string> learners;
+  std::uint64_t replica_id = 0;
+  std::vector<group_member> members;  ///< Voters and learners, from the log.
+  /// Leader only: when each other member last answered, and whether it holds the log.
+  std::vector<consensus_core::member_progress> progress;
 };
 
 /// Type-erased form of an application, as `replica` uses it.
@@ -110,6 +115,11 @@
   /// entry of former terms has been applied.
   bool HasLease() const;
 
+  /// The newest moment as of which the applied state is known to include everything that was
+  /// committed in the group by then: the present for a leader with a lease, a moment some heartbeats
+  /// ago for a member that hears such a leader, else the past.
+  steady_time FreshAt() const;
+
   /// The term in which this member leads, 0 when it does not.
   std::uint64_t LeadingTerm() const;
 
--- a/src/consensus/replica_calls.cpp
+++ b/src/consensus/replica_calls.cpp
@@ -142,6 +142,16 @@
   return end != 0 && clock_.Now().time_since_epoch().count() < end;
 }
 
+steady_time replica::driver::FreshAt() const {
+  // The time is read first: the lease must hold at that time, not at a later one.
+  const steady_time now = clock_.Now();
+  const std::int64_t lease_end = lease_end_.load();
+  if (lease_end != 0 && now.time_since_epoch().count() < lease_end) {
+    return now;
+  }
+  return steady_time(steady_time::duration(fresh_at_.load()));
+}
+
 replica_status replica::driver::Status() const {
   const std::lock_guard guard(shared_lock_);
   return status_;
@@ -169,6 +179,7 @@
   const core_log& log = core_->Log();
   lease_end_ = core_->LeaseEnd().time_since_epoch().count();
   leading_term_ = core_->IsLeader() ? core_->Term() : 0;
+  fresh_at_ = core_->FreshAt().time_since_epoch().count();
   DropStaleChannels();
   {
     const std::lock_guard guard(shared_lock_);
@@ -179,6 +190,9 @@
     status_.applied_index = core_->TakenIndex();
     status_.last_index = log.LastIndex();
     status_.snapshot_index = log.SnapshotIndex();
+    status_.replica_id = core_->ReplicaId();
+    status_.members = log.Members().members;
+    status_.progress = core_->Progress();
     status_.voters.clear();
     status_.learners.clear();
     for (const group_member& member : log.Members().members) {
@@ -248,6 +262,10 @@
   return driver_->HasLease();
 }
 
+steady_time replica::FreshAt() const {
+  return driver_->FreshAt();
+}
+
 std::uint64_t replica::LeadingTerm() const {
   return driver_->LeadingTerm();
 }
--- a/src/consensus/replica_driver.cpp
+++ b/src/consensus/replica_driver.cpp
@@ -93,7 +93,8 @@
           if (!self) {
             return respond(rpc_failure{error_kind::kShuttingDown, "the replica has ended", {}});
           }
-          if (request.from != context.peer.name || IsAnswer(request.kind)) {
+          const bool is_foreign = !context.peer.name.empty() && request.from != context.peer.name;
+          if (is_foreign || IsAnswer(request.kind)) {
             return respond(rpc_failure{error_kind::kForbidden, "not a call of this peer", {}});
           }
           self->loop_.Post([raw = self.get(), request = std::move(request),
--- a/src/consensus/replica_driver.h
+++ b/src/consensus/replica_driver.h
@@ -40,6 +40,7 @@
 
   // Shared; callable from any thread.
   bool HasLease() const;
+  steady_time FreshAt() const;
   std::uint64_t LeadingTerm() const { return leading_term_.load(); }
   replica_status Status() const;
   void AddObserver(std::function<void(bool)> observer);
@@ -104,6 +105,7 @@
   replica_status status_;
   std::vector<std::function<void(bool)>> observers_;
   std::atomic<std::int64_t> lease_end_{0};  ///< Nanoseconds of the steady clock, 0 for none.
+  std::atomic<std::int64_t> fresh_at_{0};   ///< As `lease_end_`.
   std::atomic<std::uint64_t> leading_term_{0};
 
   io_loop loop_;
--- a/src/control/operator_client.cpp
+++ b/src/control/operator_client.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 // Longer than the time after which a leader without a majority gives up a read.
 constexpr milliseconds kReadTimeout(3'000);
@@ -57,8 +56,9 @@
 
 operator_client::operator_client(std::shared_ptr<tls_identity> identity,
                                  const std::vector<named_endpoint>& members,
-                                 milliseconds patience)
-    : loop_("operator"), patience_(patience) {
+                                 milliseconds patience,
+                                 const clock_source& clock)
+    : loop_("operator"), clock_(clock), patience_(patience) {
   channels_.reserve(members.size());
   for (const named_endpoint& member : members) {
     channels_.push_back(
@@ -82,13 +82,13 @@
 }
 
 rpc_result<show_reply> operator_client::Show() {
-  const auto deadline = steady_clock::now() + patience_;
+  const auto deadline = clock_.Now() + patience_;
   std::size_t tries = 0;
   while (true) {
     auto reply = CallOnce<show_reply>("control.show", show_request{}, kReadTimeout);
     const auto* failure = std::get_if<rpc_failure>(&reply);
     // Each member is asked once, however little patience is left.
-    const bool is_last = ++tries >= channels_.size() && steady_clock::now() >= deadline;
+    const bool is_last = ++tries >= channels_.size() && clock_.Now() >= deadline;
     if (failure == nullptr || !IsTransient(*failure) || is_last) {
       return reply;
     }
@@ -136,7 +136,7 @@
 send_outcome operator_client::Send(const change_request& request) {
   send_outcome outcome;
   bool is_open = false;
-  const auto deadline = steady_clock::now() + patience_ + request.wait;
+  const auto deadline = clock_.Now() + patience_ + request.wait;
   while (true) {
     const auto shown = Show();
     if (const auto* failure = std::get_if<rpc_failure>(&shown)) {
@@ -155,7 +155,7 @@
     const auto& failure = std::get<rpc_failure>(reply);
     outcome.detail = failure.detail;
     is_open = is_open || (IsTransient(failure) && !IsHarmless(failure));
-    if (!IsTransient(failure) || steady_clock::now() >= deadline) {
+    if (!IsTransient(failure) || clock_.Now() >= deadline) {
       outcome.status = is_open                ? send_status::kOutcomeUnknown
                        : IsTransient(failure) ? send_status::kNotAccepted
                                               : send_status::kRefused;
@@ -178,7 +178,7 @@
 
 // The leader is looked up first, so that a member that cannot be reached leaves no open outcome.
 bool operator_client::FindGroupLeader() {
-  const auto deadline = steady_clock::now() + patience_;
+  const auto deadline = clock_.Now() + patience_;
   do {
     for (std::size_t i = 0; i < channels_.size(); ++i) {
       current_ = i;
@@ -189,7 +189,7 @@
       }
     }
     std::this_thread::sleep_for(kPause);
-  } while (steady_clock::now() < deadline);
+  } while (clock_.Now() < deadline);
   return false;
 }
 
--- a/src/control/operator_client.h
+++ b/src/control/operator_client.h
@@ -49,7 +49,8 @@
   /// `patience` is the time to look for a leader.
   operator_client(std::shared_ptr<tls_identity> identity,
                   const std::vector<named_endpoint>& members,
-                  std::chrono::milliseconds patience);
+                  std::chrono::milliseconds patience,
+                  const clock_source& clock = SystemClock());
 
   /// Asks the leader for the state that a majority confirms. Fails with the last cause when no
   /// leader is found in time.
@@ -81,6 +82,7 @@
   void Advance(const rpc_failure& failure);
 
   io_loop loop_;
+  const clock_source& clock_;
   const std::chrono::milliseconds patience_;
   std::vector<std::unique_ptr<rpc_channel>> channels_;
   std::size_t current_ = 0;
--- a/src/entry/announcement_intake.cpp
+++ b/src/entry/announcement_intake.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 constexpr std::string_view kPathPrefix = "/v1/upstreams/";
 constexpr std::size_t kMaxNameBytes = 128;
@@ -101,7 +100,7 @@
   metrics::Instance().Counter("announcements.received").Add();
   coordinator->Call<empty_message>(
       {"coordinator.announce", [message = *parsed] { return Encode(message); }, kTryTimeout,
-       steady_clock::now() + kDeadline},
+       worker.context.clock.Now() + kDeadline},
       [sink, id = request.id, name = parsed->upstream](const rpc_result<empty_message>& reply,
                                                        steady_time) {
         if (const auto* failure = std::get_if<rpc_failure>(&reply)) {
--- a/src/entry/config_follower.cpp
+++ b/src/entry/config_follower.cpp
@@ -9,7 +9,6 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
-using std::chrono::steady_clock;
 
 constexpr seconds kLongPoll(10);
 constexpr seconds kTryTimeout(13);
@@ -28,7 +27,7 @@
          [known] {
            return Encode(config_fetch_request{known, kLongPoll});
          },
-         kTryTimeout, steady_clock::now() + kTryTimeout},
+         kTryTimeout, context.clock.Now() + kTryTimeout},
         [weak = weak_from_this()](const rpc_result<config_fetch_reply>& reply, steady_time) {
           if (const auto self = weak.lock()) {
             self->OnReply(reply);
--- a/src/entry/coordinator_client.cpp
+++ b/src/entry/coordinator_client.cpp
@@ -32,8 +32,9 @@
     std::string last_cause = "no member was asked";
   };
 
-  state(io_loop& owner, std::shared_ptr<tls_identity> own, const region_members& members)
-      : loop(owner), identity(std::move(own)), group(members), channels(members.members.size()) {}
+  state(io_loop& owner, std::shared_ptr<tls_identity> own, const region_members& members,
+        const clock_source& time)
+      : clock(time), loop(owner), identity(std::move(own)), group(members), channels(members.members.size()) {}
 
   rpc_channel& Channel(std::size_t index) {
     if (!channels[index]) {
@@ -44,7 +45,7 @@
   }
 
   void Try(const std::shared_ptr<pending>& call) {
-    const auto now = std::chrono::steady_clock::now();
+    const auto now = clock.Now();
     const auto remaining = duration_cast<milliseconds>(call->what.deadline - now);
     if (remaining < kShortestTry) {
       call->done(rpc_failure{error_kind::kCoordinatorUnavailable,
@@ -106,6 +107,7 @@
     return false;
   }
 
+  const clock_source& clock;
   io_loop& loop;
   std::shared_ptr<tls_identity> identity;
   region_members group;
@@ -115,8 +117,9 @@
 
 coordinator_client::coordinator_client(io_loop& loop,
                                        std::shared_ptr<tls_identity> identity,
-                                       const region_members& group)
-    : state_(std::make_shared<state>(loop, std::move(identity), group)) {
+                                       const region_members& group,
+                                       const clock_source& clock)
+    : state_(std::make_shared<state>(loop, std::move(identity), group, clock)) {
   assert(!group.members.empty() && "a group has at least one member");
 }
 
--- a/src/entry/coordinator_client.h
+++ b/src/entry/coordinator_client.h
@@ -29,7 +29,8 @@
 
   coordinator_client(io_loop& loop,
                      std::shared_ptr<tls_identity> identity,
-                     const region_members& group);
+                     const region_members& group,
+                     const clock_source& clock = SystemClock());
   ~coordinator_client();
 
   /// Follows `kNotLeader` and goes to the next member when one cannot be reached. Calls must
--- a/src/entry/entry_context.h
+++ b/src/entry/entry_context.h
@@ -1,6 +1,7 @@
 /// What the requests of an entry VM share.
 #pragma once
 
+#include "base/clock.h"
 #include "entry/coordinator_client.h"
 #include "entry/entry_settings.h"
 #include "entry/lease_registry.h"
@@ -22,6 +23,7 @@
 
 /// State of the process. Thread safe.
 struct entry_context {
+  const clock_source& clock = SystemClock();
   entry_settings settings;
   std::string session;  ///< Incarnation of this entry VM.
   std::shared_ptr<tls_identity> identity;
@@ -36,10 +38,11 @@
 /// State of one thread. Created, used and destroyed on the thread of its loop.
 struct entry_worker {
   entry_worker(io_loop& own_loop, entry_context& shared)
-      : loop(own_loop), context(shared), pool(shared.idle_connections) {
+      : loop(own_loop), context(shared), pool(shared.idle_connections, shared.clock) {
     for (const region_members& group : shared.settings.coordinators) {
       coordinators.emplace(group.region,
-                           std::make_unique<coordinator_client>(own_loop, shared.identity, group));
+                           std::make_unique<coordinator_client>(own_loop, shared.identity, group,
+                                                                shared.clock));
     }
   }
 
--- a/src/entry/entry_vm.cpp
+++ b/src/entry/entry_vm.cpp
@@ -22,7 +22,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 constexpr std::size_t kAnnouncementBytes = 16UL << 10U;
 constexpr std::size_t kSessionBytes = 8;
@@ -230,7 +229,7 @@
 
 void entry_vm::state::BeginDrain() {
   is_draining = true;
-  drain_started_at = steady_clock::now();
+  drain_started_at = context.clock.Now();
   log_event(log_level::kInfo, "drain_started")
       .Field("running_requests", std::uint64_t(context.running));
   callers->AskCallersToLeave();
@@ -240,7 +239,7 @@
 }
 
 void entry_vm::state::PollDrain() {
-  const auto elapsed = steady_clock::now() - drain_started_at;
+  const auto elapsed = context.clock.Now() - drain_started_at;
   if (elapsed >= context.settings.drain_deadline) {
     StopRuns();
     return;
--- a/src/entry/request_attempt.cpp
+++ b/src/entry/request_attempt.cpp
@@ -13,7 +13,6 @@
 using std::chrono::duration_cast;
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 constexpr milliseconds kConnectTimeout(1000);
 // Shortest time in which a further attempt is worth its slot.
@@ -85,7 +84,7 @@
   // not be repeated that would leave the outcome unknown.
   what.may_reuse = routed_.route->run == route_run::kIdempotent && attempts_ == 1;
   what.idle_connections = grant_.idle_connections;
-  attempt_started_at_ = steady_clock::now();
+  attempt_started_at_ = context_.clock.Now();
   exchange_ = std::make_shared<upstream_exchange>(
       worker_.pool, std::move(what),
       upstream_exchange::events{[this](answer_head head) { OnHead(std::move(head)); },
@@ -183,7 +182,7 @@
     return;
   }
   static latency_metric& exchange = metrics::Instance().Latency("requests.exchange");
-  exchange.Add(duration_cast<microseconds>(steady_clock::now() - attempt_started_at_));
+  exchange.Add(duration_cast<microseconds>(context_.clock.Now() - attempt_started_at_));
   Complete(end.result, false);
   static counter& answered = metrics::Instance().Counter("requests.answered");
   answered.Add();
@@ -261,7 +260,7 @@
   message.outcome = outcome;
   message.fingerprint = fingerprint_;
   if (attempt_started_at_ != steady_time()) {
-    message.latency = duration_cast<microseconds>(steady_clock::now() - attempt_started_at_);
+    message.latency = duration_cast<microseconds>(context_.clock.Now() - attempt_started_at_);
   }
   return message;
 }
@@ -313,7 +312,7 @@
   auto encoded = std::make_shared<const std::string>(Encode(message));
   coordinator->Call<empty_message>(
       {"coordinator.complete", [encoded] { return *encoded; }, kCompleteTry,
-       steady_clock::now() + kCompleteDeadline},
+       context_.clock.Now() + kCompleteDeadline},
       [&context = context_, region, lease = message.lease, id = message.request_id, done](
           const rpc_result<empty_message>& reply, steady_time) {
         --context.pending_completes;
--- a/src/entry/request_run.cpp
+++ b/src/entry/request_run.cpp
@@ -12,7 +12,6 @@
 using std::chrono::duration_cast;
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 // A decision that is older may come from a leader that was frozen and has been replaced.
 constexpr milliseconds kDecisionLifetime(2000);
@@ -34,7 +33,7 @@
       context_(worker.context),
       request_(std::move(request)),
       sink_(std::move(sink)),
-      started_at_(steady_clock::now()) {
+      started_at_(context_.clock.Now()) {
   ++context_.running;
 }
 
@@ -96,7 +95,7 @@
 }
 
 milliseconds request_run::Remaining() const {
-  return duration_cast<milliseconds>(deadline_ - steady_clock::now());
+  return duration_cast<milliseconds>(deadline_ - context_.clock.Now());
 }
 
 std::string request_run::AttemptId() const {
@@ -148,7 +147,7 @@
                              steady_time sent_at) {
   static latency_metric& admission = metrics::Instance().Latency("requests.admission");
   admission.Add(
-      std::chrono::duration_cast<std::chrono::microseconds>(steady_clock::now() - sent_at));
+      std::chrono::duration_cast<std::chrono::microseconds>(context_.clock.Now() - sent_at));
   if (const auto* failure = std::get_if<rpc_failure>(&reply)) {
     OnRefusedByCoordinator(*failure);
     return;
@@ -167,7 +166,7 @@
   }
   if (grant_.replay) {
     Replay(*grant_.replay);
-  } else if (steady_clock::now() - sent_at > kDecisionLifetime) {
+  } else if (context_.clock.Now() - sent_at > kDecisionLifetime) {
     OnOutdatedDecision();
   } else if (grant_.lease.empty()) {
     Acquire(grant_.next_region, grant_.admission);
@@ -316,7 +315,7 @@
     return;
   }
   static latency_metric& latency = metrics::Instance().Latency("requests.latency");
-  latency.Add(duration_cast<microseconds>(steady_clock::now() - started_at_));
+  latency.Add(duration_cast<microseconds>(context_.clock.Now() - started_at_));
   if (deadline_timer_) {
     deadline_timer_->stop();
   }
--- a/src/entry/session_keeper.cpp
+++ b/src/entry/session_keeper.cpp
@@ -6,7 +6,6 @@
 namespace {
 
 using std::chrono::milliseconds;
-using std::chrono::steady_clock;
 
 // A coordinator drops a session after 2 s; three renewals may be lost before that.
 constexpr milliseconds kRenewal(500);
@@ -64,7 +63,7 @@
   }
   found->second->Call<empty_message>(
       {"coordinator.session", [message] { return Encode(message); }, kTryTimeout,
-       steady_clock::now() + kLeaveDeadline},
+       context_.clock.Now() + kLeaveDeadline},
       [done](const rpc_result<empty_message>&, steady_time) { done(); });
 }
 
--- a/src/experiment/http_client.cpp
+++ b/src/experiment/http_client.cpp
@@ -19,15 +19,14 @@
 namespace {
 
 namespace http = boost::beast::http;
-using steady = std::chrono::steady_clock;
 
 constexpr std::size_t kReadSize = 16'384;
 constexpr std::uint64_t kLargestBody = 67'108'864;  // 64 MiB
 
 // Waits until the socket is ready; false at the deadline.
-bool Wait(int socket, short events, steady::time_point deadline) {
+bool Wait(int socket, short events, steady_time deadline) {
   for (;;) {
-    const auto left = std::chrono::ceil<std::chrono::milliseconds>(deadline - steady::now());
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(deadline - SystemClock().Now());
     pollfd descriptor{socket, events, 0};
     const int ready =
         ::poll(&descriptor, 1, static_cast<int>(std::max<std::int64_t>(0, left.count())));
@@ -40,7 +39,7 @@
   }
 }
 
-bool SendAll(int socket, const std::string& bytes, steady::time_point deadline) {
+bool SendAll(int socket, const std::string& bytes, steady_time deadline) {
   std::size_t sent = 0;
   while (sent < bytes.size()) {
     const ssize_t count =
@@ -128,7 +127,7 @@
   if (status != 0 && errno == EINPROGRESS) {
     int pending = ETIMEDOUT;
     socklen_t size = sizeof pending;
-    if (Wait(socket_, POLLOUT, steady::now() + timeout)) {
+    if (Wait(socket_, POLLOUT, SystemClock().Now() + timeout)) {
       ::getsockopt(socket_, SOL_SOCKET, SO_ERROR, &pending, &size);
     }
     errno = pending;
@@ -143,7 +142,7 @@
 }
 
 http_reply http_client::Call(const http_call& call, std::chrono::milliseconds timeout) {
-  const auto deadline = steady::now() + timeout;
+  const auto deadline = SystemClock().Now() + timeout;
   std::string failure;
   if (!Connect(timeout, failure)) {
     return Failed(std::move(failure));
@@ -159,7 +158,7 @@
   return reply;
 }
 
-http_reply http_client::Receive(steady::time_point deadline, bool is_head) {
+http_reply http_client::Receive(steady_time deadline, bool is_head) {
   http::response_parser<http::string_body> parser;
   parser.body_limit(kLargestBody);
   parser.eager(true);
--- a/src/experiment/http_client.h
+++ b/src/experiment/http_client.h
@@ -1,6 +1,7 @@
 /// A small blocking HTTP/1.1 client for load generation and tests.
 #pragma once
 
+#include "base/clock.h"
 #include "base/endpoint.h"
 #include "base/error.h"
 
@@ -46,7 +47,7 @@
  private:
   bool Connect(std::chrono::milliseconds timeout, std::string& failure);
   bool IsStale() const;
-  http_reply Receive(std::chrono::steady_clock::time_point deadline, bool is_head);
+  http_reply Receive(steady_time deadline, bool is_head);
 
   endpoint address_;
   int socket_ = -1;
--- a/src/experiment/load_run.cpp
+++ b/src/experiment/load_run.cpp
@@ -1,5 +1,6 @@
 #include "experiment/load_run.h"
 
+#include "base/clock.h"
 #include "base/hash.h"
 
 #include <algorithm>
@@ -11,7 +12,6 @@
 namespace corianderhoist {
 namespace {
 
-using steady = std::chrono::steady_clock;
 using std::chrono::duration_cast;
 using std::chrono::microseconds;
 
@@ -20,18 +20,18 @@
 
 struct shared_run {
   const load_plan& plan;
-  steady::time_point start;
+  steady_time start;
   std::atomic<std::uint64_t> next{0};
 };
 
 // Waits for the intended start of a request; false when it lies behind the end of the run.
-bool AwaitStart(const shared_run& run, std::uint64_t index, steady::time_point& intended) {
+bool AwaitStart(const shared_run& run, std::uint64_t index, steady_time& intended) {
   if (run.plan.rate > 0) {
     const auto offset = std::chrono::duration<double>(static_cast<double>(index) / run.plan.rate);
-    intended = run.start + duration_cast<steady::duration>(offset);
+    intended = run.start + duration_cast<steady_time::duration>(offset);
     std::this_thread::sleep_until(std::min(intended, run.start + run.plan.duration));
   } else {
-    intended = steady::now();
+    intended = SystemClock().Now();
   }
   return intended < run.start + run.plan.duration;
 }
@@ -60,13 +60,13 @@
   load_results results;
   for (;;) {
     const std::uint64_t index = run.next.fetch_add(1);
-    steady::time_point intended;
+    steady_time intended;
     if (!AwaitStart(run, index, intended)) {
       return results;
     }
     const load_workspace& workspace = run.plan.workspaces[index % run.plan.workspaces.size()];
     const http_reply reply = client.Call(MakeCall(run.plan, workspace), run.plan.timeout);
-    Count(results[workspace.name], reply, duration_cast<microseconds>(steady::now() - intended));
+    Count(results[workspace.name], reply, duration_cast<microseconds>(SystemClock().Now() - intended));
   }
 }
 
@@ -82,7 +82,7 @@
 
 load_results RunLoad(const load_plan& plan) {
   assert(!plan.addresses.empty() && !plan.workspaces.empty() && "a load needs targets and callers");
-  shared_run run{plan, steady::now()};
+  shared_run run{plan, SystemClock().Now()};
   const auto count = static_cast<std::size_t>(plan.connections);
   std::vector<load_results> results(count);
   std::vector<std::thread> threads;
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -161,7 +161,7 @@
   QObject::connect(socket_.get(), &QTcpSocket::disconnected, scope, [this] { End(); });
   QObject::connect(socket_.get(), &QTcpSocket::errorOccurred, scope, [this] { End(); });
   QObject::connect(socket_.get(), &QTcpSocket::bytesWritten, scope, [this] {
-    last_progress_ = std::chrono::steady_clock::now();
+    last_progress_ = context_.clock.Now();
     if (answer_ && answer_->on_drained) {
       answer_->on_drained();
     } else if (phase_ == phase::kLingering) {
@@ -305,7 +305,7 @@
     return;
   }
   if (socket_->bytesToWrite() == 0) {
-    last_progress_ = std::chrono::steady_clock::now();
+    last_progress_ = context_.clock.Now();
   }
   socket_->write(bytes.data(), static_cast<qint64>(bytes.size()));
   socket_->flush();
@@ -338,10 +338,10 @@
     incoming_.clear();
   }
   if (socket_->bytesToWrite() > 0) {
-    phase_end_ = std::chrono::steady_clock::now() + kStallTimeout;
+    phase_end_ = context_.clock.Now() + kStallTimeout;
     return;
   }
-  phase_end_ = std::chrono::steady_clock::now() + kLingerTimeout;
+  phase_end_ = context_.clock.Now() + kLingerTimeout;
   if (context_.tls) {
     socket_->disconnectFromHost();
   } else {
@@ -384,7 +384,7 @@
 
 void caller_connection::Enter(phase next, milliseconds longest) {
   phase_ = next;
-  phase_end_ = std::chrono::steady_clock::now() + longest;
+  phase_end_ = context_.clock.Now() + longest;
 }
 
 }  // namespace corianderhoist
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -28,6 +28,7 @@
 
 /// What a connection shares with its server.
 struct caller_context {
+  const clock_source& clock = SystemClock();
   caller_limits limits;
   std::optional<QSslConfiguration> tls;
   std::atomic<bool> is_closing = false;  ///< Answers ask callers to connect elsewhere.
--- a/src/http/caller_server.cpp
+++ b/src/http/caller_server.cpp
@@ -14,6 +14,9 @@
 constexpr std::chrono::milliseconds kSweepInterval(100);
 
 struct worker {
+  explicit worker(const clock_source& time) : clock(time) {}
+
+  const clock_source& clock;
   io_loop* loop = nullptr;
   std::unordered_map<caller_connection*, std::shared_ptr<caller_connection>> connections;
   std::unique_ptr<QTimer> sweep;
@@ -34,7 +37,7 @@
   void StartSweep() {
     sweep = std::make_unique<QTimer>();
     QObject::connect(sweep.get(), &QTimer::timeout, sweep.get(), [this] {
-      const auto now = std::chrono::steady_clock::now();
+      const auto now = clock.Now();
       ForEach([now](caller_connection& connection) { connection.CheckTime(now); });
     });
     sweep->start(kSweepInterval);
@@ -76,7 +79,7 @@
   state_->context.tls = std::move(tls);
   state_->on_request = std::move(on_request);
   for (io_loop* loop : loops) {
-    state_->workers.push_back(std::make_unique<worker>());
+    state_->workers.push_back(std::make_unique<worker>(state_->context.clock));
     worker* added = state_->workers.back().get();
     added->loop = loop;
     loop->RunAndWait([added] { added->StartSweep(); });
--- a/src/http/upstream_pool.cpp
+++ b/src/http/upstream_pool.cpp
@@ -60,7 +60,7 @@
   if (found == idle_.end()) {
     return nullptr;
   }
-  const auto oldest = std::chrono::steady_clock::now() - kMaxIdle;
+  const auto oldest = clock_.Now() - kMaxIdle;
   std::vector<idle_connection>& connections = found->second;
   while (!connections.empty()) {
     idle_connection last = std::move(connections.back());
@@ -82,11 +82,11 @@
     socket.release()->deleteLater();
     return;
   }
-  idle_[upstream].push_back({std::move(socket), std::chrono::steady_clock::now()});
+  idle_[upstream].push_back({std::move(socket), clock_.Now()});
 }
 
 void upstream_pool::Sweep() {
-  const auto oldest = std::chrono::steady_clock::now() - kMaxIdle;
+  const auto oldest = clock_.Now() - kMaxIdle;
   for (auto entry = idle_.begin(); entry != idle_.end();) {
     auto& [upstream, connections] = *entry;
     auto kept = std::stable_partition(connections.begin(), connections.end(),
--- a/src/http/upstream_pool.h
+++ b/src/http/upstream_pool.h
@@ -40,7 +40,8 @@
 /// The idle connections of one thread, on which it must be used and destroyed.
 class upstream_pool {
  public:
-  explicit upstream_pool(idle_quota& quota) : quota_(quota) {}
+  explicit upstream_pool(idle_quota& quota, const clock_source& clock = SystemClock())
+      : quota_(quota), clock_(clock) {}
   ~upstream_pool();
   upstream_pool(const upstream_pool&) = delete;
   upstream_pool& operator=(const upstream_pool&) = delete;
@@ -62,6 +63,7 @@
   void Discard(const upstream_address& upstream, std::unique_ptr<QTcpSocket> socket);
 
   idle_quota& quota_;
+  const clock_source& clock_;
   std::map<upstream_address, std::vector<idle_connection>> idle_;
 };
 
--- a/src/wire/codec.h
+++ b/src/wire/codec.h
@@ -108,8 +108,20 @@
   }
   template <wire_message Message>
   void Put(const Message& message) {
+    static const Message kDefaults{};
+    const auto* base = reinterpret_cast<const char*>(&message);
     out_.startMap();
-    Message::ForEachField(message, [this](int key, const auto& field) {
+    Message::ForEachField(message, [&]<class Field>(int key, const Field& field) {
+      // A zero takes no bytes where it is the default that a missing field keeps.
+      if constexpr (std::is_arithmetic_v<Field> || std::is_enum_v<Field> ||
+                    std::is_same_v<Field, std::string>) {
+        const auto offset = reinterpret_cast<const char*>(&field) - base;
+        const auto* unset =
+            reinterpret_cast<const Field*>(reinterpret_cast<const char*>(&kDefaults) + offset);
+        if (field == Field{} && *unset == Field{}) {
+          return;
+        }
+      }
       out_.append(static_cast<qint64>(key));
       Put(field);
     });
--- a/src/wire/http2_session.cpp
+++ b/src/wire/http2_session.cpp
@@ -101,7 +101,7 @@
   }
 };
 
-http2_session::http2_session(QSslSocket& socket, side which, events handlers)
+http2_session::http2_session(QTcpSocket& socket, side which, events handlers)
     : socket_(socket), side_(which), events_(std::move(handlers)) {
   nghttp2_session_callbacks* table = nullptr;
   nghttp2_session_callbacks_new(&table);
@@ -122,13 +122,13 @@
   };
   nghttp2_submit_settings(session_, NGHTTP2_FLAG_NONE, settings.data(), settings.size());
   nghttp2_session_set_local_window_size(session_, NGHTTP2_FLAG_NONE, 0, kConnectionWindowBytes);
-  QObject::connect(&socket_, &QSslSocket::readyRead, &socket_, [this] { Receive(); });
+  QObject::connect(&socket_, &QTcpSocket::readyRead, &socket_, [this] { Receive(); });
   Flush();
   Receive();
 }
 
 http2_session::~http2_session() {
-  QObject::disconnect(&socket_, &QSslSocket::readyRead, nullptr, nullptr);
+  QObject::disconnect(&socket_, &QTcpSocket::readyRead, nullptr, nullptr);
   nghttp2_session_del(session_);
 }
 
@@ -181,6 +181,7 @@
     return;
   }
   const QByteArray bytes = socket_.readAll();
+  received_bytes_ += static_cast<std::uint64_t>(bytes.size());
   is_receiving_ = true;
   const ssize_t used =
       nghttp2_session_mem_recv(session_, reinterpret_cast<const std::uint8_t*>(bytes.data()),
--- a/src/wire/http2_session.h
+++ b/src/wire/http2_session.h
@@ -1,9 +1,9 @@
-/// One HTTP/2 session (nghttp2) over an encrypted socket, as client or server, with whole messages
+/// One HTTP/2 session (nghttp2) over a TCP or TLS socket, as client or server, with whole messages
 /// per stream.
 #pragma once
 
 #include <nghttp2/nghttp2.h>
-#include <QSslSocket>
+#include <QTcpSocket>
 
 #include <cstdint>
 #include <functional>
@@ -29,7 +29,7 @@
     std::function<void(const std::string& cause)> on_broken;
   };
 
-  http2_session(QSslSocket& socket, side which, events handlers);
+  http2_session(QTcpSocket& socket, side which, events handlers);
   ~http2_session();
   http2_session(const http2_session&) = delete;
   http2_session& operator=(const http2_session&) = delete;
@@ -38,6 +38,8 @@
   std::int32_t SubmitRequest(const std::string& path, std::string body);
   /// Server: answers a stream. A stream that is gone is ignored.
   void SubmitAnswer(std::int32_t stream, int status, std::string body);
+  /// Bytes received so far; a session whose count stands still may have lost its connection.
+  std::uint64_t ReceivedBytes() const { return received_bytes_; }
   /// Ends a stream that is no longer wanted.
   void Cancel(std::int32_t stream);
 
@@ -54,13 +56,14 @@
   void Flush();
   void Break(const std::string& cause);
 
-  QSslSocket& socket_;
+  QTcpSocket& socket_;
   const side side_;
   events events_;
   nghttp2_session* session_ = nullptr;
   std::unordered_map<std::int32_t, stream_state> streams_;
   bool is_broken_ = false;
   bool is_receiving_ = false;
+  std::uint64_t received_bytes_ = 0;
 };
 
 }  // namespace corianderhoist
--- a/src/wire/rpc.h
+++ b/src/wire/rpc.h
@@ -1,5 +1,8 @@
 /// Remote calls between the processes of the fleet: one HTTP/2 stream (nghttp2) per call over a
 /// connection with mutual TLS. The method is the path `/v1/<method>`, bodies are CBOR messages.
+///
+/// Without a `tls_identity` the connections are plain TCP and peers are not identified: for
+/// networks on which only the fleet's own machines can connect. Role checks do not apply there.
 #pragma once
 
 #include "base/endpoint.h"
@@ -47,7 +50,7 @@
 
 /// What a handler knows about its caller.
 struct rpc_context {
-  peer_identity peer;
+  peer_identity peer;  ///< Empty on plain connections.
 };
 
 /// Accepts calls. Handlers run on the server's threads, several at a time.
@@ -105,7 +108,8 @@
 };
 
 /// Calls one process. Connects on the first call and again after a loss, with a back-off of 50 ms
-/// to 1 s; calls made while there is no connection wait for it until their timeout. Thread safe;
+/// to 1 s; calls made while there is no connection wait for it until their timeout. A call that ends
+/// in a timeout while nothing at all arrived drops the connection, which may have gone silent. Thread safe;
 /// callbacks run on the thread of `loop`, which must outlive the channel.
 class rpc_channel {
  public:
--- a/src/wire/rpc_channel.cpp
+++ b/src/wire/rpc_channel.cpp
@@ -2,6 +2,8 @@
 #include "wire/http2_session.h"
 #include "wire/rpc.h"
 
+#include <QHostAddress>
+#include <QNetworkProxy>
 #include <QSslError>
 #include <QTimer>
 
@@ -24,6 +26,7 @@
   std::string body;
   rpc_callback<std::string> callback;
   std::unique_ptr<QTimer> timer;
+  std::uint64_t received_before = 0;  ///< Bytes of the session when the call was submitted.
 };
 
 rpc_result<std::string> ToReply(const std::string& status, std::string body) {
@@ -58,9 +61,8 @@
     call.callback = std::move(callback);
     call.timer = std::make_unique<QTimer>();
     call.timer->setSingleShot(true);
-    QObject::connect(call.timer.get(), &QTimer::timeout, call.timer.get(), [this, id] {
-      Finish(id, rpc_failure{error_kind::kTimeout, "no answer from " + peer + " in time", {}});
-    });
+    QObject::connect(call.timer.get(), &QTimer::timeout, call.timer.get(),
+                     [this, id] { OnTimeout(id); });
     call.timer->start(timeout);
     if (session) {
       Submit(id);
@@ -82,6 +84,22 @@
       return;
     }
     call_of_stream[stream] = id;
+    found->second.received_before = session->ReceivedBytes();
+  }
+
+  void OnTimeout(std::uint64_t id) {
+    const auto found = calls.find(id);
+    if (found == calls.end()) {
+      return;
+    }
+    const bool is_submitted = std::any_of(call_of_stream.begin(), call_of_stream.end(),
+                                          [id](const auto& item) { return item.second == id; });
+    const bool is_silent = is_submitted && session &&
+                           session->ReceivedBytes() == found->second.received_before;
+    Finish(id, rpc_failure{error_kind::kTimeout, "no answer from " + peer + " in time", {}});
+    if (is_silent) {
+      Drop("silent");
+    }
   }
 
   void Finish(std::uint64_t id, rpc_result<std::string> reply) {
@@ -100,23 +118,36 @@
     if (socket || is_backing_off || is_closed) {
       return;
     }
-    socket = std::make_unique<QSslSocket>();
+    QSslSocket* encrypted = nullptr;
+    if (identity) {
+      auto made = std::make_unique<QSslSocket>();
+      encrypted = made.get();
+      socket = std::move(made);
+    } else {
+      socket = std::make_unique<QTcpSocket>();
+    }
+    socket->setProxy(QNetworkProxy::NoProxy);
     QObject* context = socket.get();
-    QObject::connect(socket.get(), &QSslSocket::encrypted, context, [this] { OnEncrypted(); });
-    QObject::connect(socket.get(), &QSslSocket::disconnected, context, [this] { Drop("closed"); });
-    QObject::connect(socket.get(), &QSslSocket::errorOccurred, context,
+    QObject::connect(socket.get(), &QTcpSocket::disconnected, context, [this] { Drop("closed"); });
+    QObject::connect(socket.get(), &QTcpSocket::errorOccurred, context,
                      [this] { Drop(socket->errorString().toStdString()); });
     QTimer::singleShot(kConnectTimeout, context, [this] {
       if (!session) {
         Drop("no connection in time");
       }
     });
-    socket->setSslConfiguration(identity->Current());
-    socket->connectToHostEncrypted(QString::fromStdString(address.ip), address.port,
-                                   QString::fromStdString(peer));
+    if (encrypted == nullptr) {
+      QObject::connect(socket.get(), &QTcpSocket::connected, context, [this] { OnConnected(); });
+      socket->connectToHost(QHostAddress(QString::fromStdString(address.ip)), address.port);
+      return;
+    }
+    QObject::connect(encrypted, &QSslSocket::encrypted, context, [this] { OnConnected(); });
+    encrypted->setSslConfiguration(identity->Current());
+    encrypted->connectToHostEncrypted(QString::fromStdString(address.ip), address.port,
+                                      QString::fromStdString(peer));
   }
 
-  void OnEncrypted() {
+  void OnConnected() {
     socket->setSocketOption(QAbstractSocket::LowDelayOption, 1);
     session = std::make_unique<http2_session>(
         *socket, http2_session::side::kClient,
@@ -162,7 +193,7 @@
     }
     log_event(log_level::kDebug, "channel_lost").Field("peer", peer).Field("cause", cause);
     auto old_session = std::shared_ptr<http2_session>(std::move(session));
-    auto old_socket = std::shared_ptr<QSslSocket>(std::move(socket));
+    auto old_socket = std::shared_ptr<QTcpSocket>(std::move(socket));
     old_socket->disconnect();
     old_socket->abort();
     // Both may be in use further up the stack; the session goes first, it refers to the socket.
@@ -206,7 +237,7 @@
   std::shared_ptr<tls_identity> identity;
   endpoint address;
   std::string peer;
-  std::unique_ptr<QSslSocket> socket;
+  std::unique_ptr<QTcpSocket> socket;
   std::unique_ptr<http2_session> session;
   std::unordered_map<std::uint64_t, pending_call> calls;
   std::unordered_map<std::int32_t, std::uint64_t> call_of_stream;
--- a/src/wire/rpc_server.cpp
+++ b/src/wire/rpc_server.cpp
@@ -35,17 +35,32 @@
   server_connection(const server_connection&) = delete;
   server_connection& operator=(const server_connection&) = delete;
 
-  void Start(qintptr descriptor, const QSslConfiguration& configuration) {
-    socket_ = std::make_unique<QSslSocket>();
+  void Start(qintptr descriptor, tls_identity* identity) {
+    QSslSocket* encrypted = nullptr;
+    if (identity != nullptr) {
+      auto made = std::make_unique<QSslSocket>();
+      encrypted = made.get();
+      socket_ = std::move(made);
+    } else {
+      socket_ = std::make_unique<QTcpSocket>();
+    }
     QObject* context = socket_.get();
-    QObject::connect(socket_.get(), &QSslSocket::encrypted, context, [this] { OnEncrypted(); });
-    QObject::connect(socket_.get(), &QSslSocket::disconnected, context, [this] { End("closed"); });
-    QObject::connect(socket_.get(), &QSslSocket::errorOccurred, context,
+    QObject::connect(socket_.get(), &QTcpSocket::disconnected, context, [this] { End("closed"); });
+    QObject::connect(socket_.get(), &QTcpSocket::errorOccurred, context,
                      [this] { End(socket_->errorString().toStdString()); });
     socket_->setSocketDescriptor(descriptor);
     socket_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
-    socket_->setSslConfiguration(configuration);
-    socket_->startServerEncryption();
+    if (encrypted == nullptr) {
+      is_plain_ = true;
+      StartSession();
+      return;
+    }
+    QObject::connect(encrypted, &QSslSocket::encrypted, context, [this, encrypted] {
+      context_.peer = IdentityOf(*encrypted);
+      StartSession();
+    });
+    encrypted->setSslConfiguration(identity->Current());
+    encrypted->startServerEncryption();
     loop_.After(kHandshakeTimeout, [weak = weak_from_this()] {
       const auto self = weak.lock();
       if (self && !self->session_) {
@@ -55,8 +70,7 @@
   }
 
  private:
-  void OnEncrypted() {
-    context_.peer = IdentityOf(*socket_);
+  void StartSession() {
     session_ = std::make_unique<http2_session>(
         *socket_, http2_session::side::kServer,
         http2_session::events{[this](std::int32_t stream, std::string head, std::string body) {
@@ -81,7 +95,7 @@
       respond(rpc_failure{error_kind::kNotFound, "unknown method " + path, {}});
       return;
     }
-    if (!found->second.roles.contains(context_.peer.role)) {
+    if (!is_plain_ && !found->second.roles.contains(context_.peer.role)) {
       respond(rpc_failure{
           error_kind::kForbidden, "role '" + context_.peer.role + "' may not call " + path, {}});
       return;
@@ -104,7 +118,7 @@
     if (std::exchange(has_ended_, true)) {
       return;
     }
-    if (context_.peer.name.empty()) {
+    if (!is_plain_ && context_.peer.name.empty()) {
       log_event(log_level::kWarning, "peer_refused")
           .Field("peer", socket_->peerAddress().toString().toStdString())
           .Field("cause", cause);
@@ -120,9 +134,10 @@
   io_loop& loop_;
   const method_table& methods_;
   std::function<void(server_connection*)> on_end_;
-  std::unique_ptr<QSslSocket> socket_;
+  std::unique_ptr<QTcpSocket> socket_;
   std::unique_ptr<http2_session> session_;
   rpc_context context_;
+  bool is_plain_ = false;
   bool has_ended_ = false;
 };
 
@@ -149,7 +164,7 @@
           chosen.loop, methods,
           [&chosen](server_connection* ended) { chosen.connections.erase(ended); });
       chosen.connections.emplace(connection.get(), connection);
-      connection->Start(descriptor, identity->Current());
+      connection->Start(descriptor, identity.get());
     });
   }
 };
--- a/tests/unit/entry/coordinator_client_test.cpp
+++ b/tests/unit/entry/coordinator_client_test.cpp
@@ -49,7 +49,7 @@
     std::promise<rpc_result<empty_message>> promise;
     loop.Post([&] {
       client->Call<empty_message>({"coordinator.session", [] { return Encode(session_request{}); },
-                                   milliseconds(1000), std::chrono::steady_clock::now() + limit},
+                                   milliseconds(1000), SystemClock().Now() + limit},
                                   [&](rpc_result<empty_message> reply, steady_time) {
                                     promise.set_value(std::move(reply));
                                   });
