--- a/src/base/log.cpp
+++ b/src/base/log.cpp
@@ -2,6 +2,10 @@
 
 #include <easylogging++.h>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <chrono>
@@ -15,6 +19,11 @@
 
 constexpr std::array<std::string_view, 4> kLevelNames = {"debug", "info", "warning", "error"};
 
+// Below this rate, averaged over a few seconds, no line is dropped. A VM that serves 100 requests a
+// second writes about 400 lines.
+constexpr double kLinesPerSecond = 1000;
+constexpr double kLineBurst = 5000;
+
 std::atomic<log_level> lowest_level = log_level::kInfo;
 
 std::string& ProcessName() {
@@ -22,14 +31,76 @@
   return name;
 }
 
+// Writes complete lines to standard output, never waiting for its reader: what does not fit at once
+// is dropped and counted. Thread safe.
+class line_writer {
+ public:
+  static line_writer& Instance() {
+    static line_writer writer;
+    return writer;
+  }
+
+  void Write(std::string line) {
+    const std::lock_guard guard(lock_);
+    if (!TakeLine()) {
+      ++dropped_;
+      return;
+    }
+    line += '\n';
+    if (dropped_ > 0) {
+      line += "{\"event\":\"log_lines_dropped\",\"count\":" + std::to_string(dropped_) + "}\n";
+    }
+    if (WriteAtOnce(line)) {
+      dropped_ = 0;
+    } else {
+      ++dropped_;
+    }
+  }
+
+ private:
+  bool TakeLine() {
+    const auto now = std::chrono::steady_clock::now();
+    const double elapsed = std::chrono::duration<double>(now - refilled_at_).count();
+    tokens_ = std::min(tokens_ + elapsed * kLinesPerSecond, kLineBurst);
+    refilled_at_ = now;
+    if (tokens_ < 1) {
+      return false;
+    }
+    tokens_ -= 1;
+    return true;
+  }
+
+  // A pipe that is ready takes PIPE_BUF bytes without blocking, and lines are shorter.
+  static bool WriteAtOnce(const std::string& text) {
+    pollfd ready{STDOUT_FILENO, POLLOUT, 0};
+    if (::poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0) {
+      return false;
+    }
+    return ::write(STDOUT_FILENO, text.data(), text.size()) == static_cast<ssize_t>(text.size());
+  }
+
+  std::mutex lock_;
+  double tokens_ = kLineBurst;
+  std::chrono::steady_clock::time_point refilled_at_ = std::chrono::steady_clock::now();
+  std::uint64_t dropped_ = 0;
+};
+
+class line_dispatch final : public el::LogDispatchCallback {
+ protected:
+  void handle(const el::LogDispatchData* data) override {
+    line_writer::Instance().Write(data->logMessage()->message());
+  }
+};
+
 // The event is already a complete line, so easylogging++ must add nothing to it.
 void ConfigureLogger() {
   el::Configurations configuration;
   configuration.setToDefault();
   configuration.setGlobally(el::ConfigurationType::Format, "%msg");
   configuration.setGlobally(el::ConfigurationType::ToFile, "false");
-  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
   el::Loggers::reconfigureLogger("default", configuration);
+  el::Helpers::installLogDispatchCallback<line_dispatch>("line_dispatch");
 }
 
 std::int64_t UnixMilliseconds() {
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -3,7 +3,7 @@
 
 #include "base/clock.h"
 #include "control/control_service.h"
-#include "observe/status_server.h"
+#include "status/status_server.h"
 #include "settings/settings_reader.h"
 #include "wire/daemon.h"
 #include "wire/rpc.h"
--- a/src/coordinator/coordinator_service.cpp
+++ b/src/coordinator/coordinator_service.cpp
@@ -6,7 +6,7 @@
 #include "coordinator/config_follower.h"
 #include "coordinator/config_publisher.h"
 #include "coordinator/coordinator_core.h"
-#include "observe/status_server.h"
+#include "status/status_server.h"
 #include "wire/rpc.h"
 
 #include <QJsonArray>
--- a/src/entry/entry_context.h
+++ b/src/entry/entry_context.h
@@ -6,7 +6,7 @@
 #include "entry/entry_settings.h"
 #include "entry/lease_registry.h"
 #include "entry/retry_budget.h"
-#include "http/upstream_pool.h"
+#include "upstream/upstream_pool.h"
 #include "routing/router.h"
 #include "wire/io_loop.h"
 #include "wire/tls_identity.h"
--- a/src/entry/entry_vm.cpp
+++ b/src/entry/entry_vm.cpp
@@ -10,7 +10,7 @@
 #include "entry/session_keeper.h"
 #include "http/caller_server.h"
 #include "observe/metrics.h"
-#include "observe/status_server.h"
+#include "status/status_server.h"
 #include "wire/rpc.h"
 
 #include <QTimer>
--- a/src/entry/request_run.h
+++ b/src/entry/request_run.h
@@ -5,7 +5,7 @@
 #include "coordinator/messages.h"
 #include "entry/entry_context.h"
 #include "http/answer_sink.h"
-#include "http/upstream_exchange.h"
+#include "upstream/upstream_exchange.h"
 
 #include <QTimer>
 
--- /dev/null
+++ b/src/fleet/evidence_pool.cpp
@@ -0,0 +1,140 @@
+#include "fleet/evidence_pool.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace corianderhoist {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr double kPaceWeight = 0.15;
+constexpr double kProbabilityUnits = 255;
+// A change smaller than these is not worth a message, unless it crosses into or out of suspicion.
+constexpr std::uint32_t kFailingStep = 12;
+constexpr double kPaceStep = 0.25;
+constexpr std::uint32_t kShortestPaceStep = 5;
+// Announcements may be late by seconds.
+constexpr int kSilentIntervals = 3;
+constexpr milliseconds kCrashMemory(60'000);
+constexpr std::size_t kMaxSuspects = 1000;
+
+bool IsWorthPublishing(const upstream_condition& published, const upstream_condition& present) {
+  const auto failing_change = published.failing > present.failing
+                                  ? published.failing - present.failing
+                                  : present.failing - published.failing;
+  const auto pace_change = published.pace > present.pace ? published.pace - present.pace
+                                                         : present.pace - published.pace;
+  const auto pace_step = std::max(
+      kShortestPaceStep, static_cast<std::uint32_t>(kPaceStep * static_cast<double>(published.pace)));
+  return failing_change >= kFailingStep || pace_change >= pace_step ||
+         published.is_silent != present.is_silent;
+}
+
+}  // namespace
+
+evidence_pool::evidence_pool(milliseconds announcement_interval, steady_time now)
+    : announcement_interval_(announcement_interval), started_(now) {}
+
+evidence_pool::record& evidence_pool::RecordOf(upstream_handle upstream, steady_time now) {
+  return records_.try_emplace(upstream, now).first->second;
+}
+
+void evidence_pool::Observe(const outcome_note& outcome, steady_time now) {
+  record& entry = RecordOf(outcome.upstream, now);
+  entry.health.Observe(outcome.evidence, now);
+  if (outcome.evidence != attempt_evidence::kGood) {
+    return;
+  }
+  entry.last_good_at = now;
+  if (outcome.pace > 0) {
+    const auto pace = static_cast<double>(outcome.pace);
+    entry.pace = entry.pace == 0 ? pace : entry.pace + kPaceWeight * (pace - entry.pace);
+  }
+}
+
+void evidence_pool::Hear(upstream_handle upstream, steady_time now) {
+  RecordOf(upstream, now).heard_at = now;
+}
+
+void evidence_pool::Retain(const std::set<upstream_handle>& known) {
+  std::erase_if(records_, [&](const auto& item) { return !known.contains(item.first); });
+}
+
+upstream_condition evidence_pool::ConditionOf(upstream_handle upstream,
+                                              const record& entry,
+                                              steady_time now) const {
+  const milliseconds patience = announcement_interval_ * kSilentIntervals;
+  upstream_condition condition;
+  condition.upstream = upstream;
+  condition.failing =
+      static_cast<std::uint32_t>(std::lround(entry.health.FailingAt(now) * kProbabilityUnits));
+  condition.pace = static_cast<std::uint32_t>(std::lround(entry.pace));
+  condition.is_silent = now - std::max(entry.heard_at, entry.last_good_at) > patience &&
+                        now - started_ > patience;
+  return condition;
+}
+
+bool evidence_pool::Refresh(steady_time now) {
+  bool has_changed = false;
+  for (auto& [upstream, entry] : records_) {
+    const upstream_condition present = ConditionOf(upstream, entry, now);
+    if (entry.revision == 0 || IsWorthPublishing(entry.published, present)) {
+      entry.published = present;
+      entry.revision = ++revision_;
+      has_changed = true;
+    }
+  }
+  return has_changed;
+}
+
+std::vector<upstream_condition> evidence_pool::ChangedSince(std::uint64_t revision) const {
+  std::vector<upstream_condition> changed;
+  for (const auto& [upstream, entry] : records_) {
+    if (entry.revision > revision) {
+      changed.push_back(entry.published);
+    }
+  }
+  return changed;
+}
+
+std::vector<upstream_handle> evidence_pool::SilentFor(milliseconds silence, steady_time now) const {
+  std::vector<upstream_handle> silent;
+  for (const auto& [upstream, entry] : records_) {
+    if (now - std::max(entry.heard_at, entry.last_good_at) > silence) {
+      silent.push_back(upstream);
+    }
+  }
+  return silent;
+}
+
+void crash_book::Note(const crash_note& note, steady_time now) {
+  if (suspects_.size() >= kMaxSuspects) {
+    std::erase_if(suspects_, [&](const auto& item) { return now - item.second.last > kCrashMemory; });
+    if (suspects_.size() >= kMaxSuspects) {
+      return;
+    }
+  }
+  if (note.is_cleared) {
+    if (const auto found = suspects_.find(note.fingerprint); found != suspects_.end()) {
+      found->second.has_run_well = true;
+    }
+    return;
+  }
+  suspect& subject = suspects_[note.fingerprint];
+  subject.crashed.insert(note.upstream);
+  subject.last = now;
+}
+
+std::vector<std::uint64_t> crash_book::Blocked(steady_time now) const {
+  std::vector<std::uint64_t> blocked;
+  for (const auto& [fingerprint, subject] : suspects_) {
+    if (!subject.has_run_well && subject.crashed.size() >= kCrashesUntilBlocked &&
+        now - subject.last < kCrashMemory) {
+      blocked.push_back(fingerprint);
+    }
+  }
+  return blocked;
+}
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/fleet/fleet_core_pool.cpp
@@ -0,0 +1,309 @@
+// What a core VM pools of the entry VMs' observations, and how it hands out news.
+#include "base/log.h"
+#include "fleet/fleet_core.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace corianderhoist {
+namespace {
+
+using std::chrono::milliseconds;
+
+// News are collected for this long before entry VMs are answered, so that a burst of failures makes
+// one answer.
+constexpr milliseconds kAnswerDelay(8);
+constexpr milliseconds kShareDelay(12);
+constexpr milliseconds kShareInterval(250);
+constexpr milliseconds kShareTimeout(1000);
+constexpr milliseconds kLongestHold(1000);
+constexpr milliseconds kVmActive(2500);
+constexpr milliseconds kPeerActive(3000);
+constexpr milliseconds kExpiryInterval(2000);
+// An upstream that is cut off from the core VMs serves on; it is only dropped when nobody has heard
+// from it for long.
+constexpr milliseconds kExpireAfter(30'000);
+constexpr std::uint32_t kPerMille = 1000;
+// Shares are rounded so that small changes of demand are not sent to every VM.
+constexpr std::uint32_t kShareStep = 50;
+
+}  // namespace
+
+void fleet_core::OnWatch(watch_request request, rpc_callback<watch_reply> respond) {
+  const steady_time now = clock_.Now();
+  active_vms_[request.vm] = now;
+  const auto hold = std::clamp(request.hold, milliseconds(0), kLongestHold);
+  watcher waiting{std::move(request), now, now + hold, std::move(respond)};
+  if (hold.count() == 0 || HasNews(waiting)) {
+    waiting.respond(MakeReply(waiting));
+    return;
+  }
+  // A VM has one call at a time; an older one was given up.
+  std::erase_if(watchers_, [&](const watcher& other) { return other.request.vm == waiting.request.vm; });
+  watchers_.push_back(std::move(waiting));
+  loop_.After(hold, [this] { AnswerWatchers(); });
+}
+
+bool fleet_core::HasNews(const watcher& waiting) const {
+  const watch_request& known = waiting.request;
+  return known.core_life != life_ || known.policy_version < state_.PolicyVersion() ||
+         known.roster_index < state_.AppliedIndex() ||
+         known.conditions_revision < evidence_.Revision() ||
+         known.limits_revision < limits_revision_;
+}
+
+watch_reply fleet_core::MakeReply(const watcher& waiting) const {
+  const watch_request& known = waiting.request;
+  const bool is_known_here = known.core_life == life_;
+  // The age is taken first: what is read afterwards is at least as new.
+  const steady_time now = clock_.Now();
+  const steady_time fresh_at = replica_->FreshAt();
+  watch_reply reply;
+  reply.age = std::chrono::ceil<milliseconds>(now - std::min(fresh_at, now));
+  reply.held = std::chrono::duration_cast<milliseconds>(now - waiting.arrived);
+  reply.core_life = life_;
+  reply.changes = state_.ChangesSince(known.policy_version, known.roster_index);
+  reply.conditions_revision = evidence_.Revision();
+  reply.conditions = evidence_.ChangedSince(is_known_here ? known.conditions_revision : 0);
+  reply.limits_revision = limits_revision_;
+  if (!is_known_here || known.limits_revision < limits_revision_) {
+    reply.limits.push_back(limits_);
+  }
+  if (!is_known_here) {
+    for (const group_member& member : status_.members) {
+      reply.cores.push_back(member.address);
+    }
+  }
+  return reply;
+}
+
+void fleet_core::AnswerWatchers() {
+  is_answer_scheduled_ = false;
+  const steady_time now = clock_.Now();
+  std::vector<watcher> kept;
+  for (watcher& waiting : std::exchange(watchers_, {})) {
+    if (now >= waiting.until || HasNews(waiting)) {
+      waiting.respond(MakeReply(waiting));
+    } else {
+      kept.push_back(std::move(waiting));
+    }
+  }
+  watchers_ = std::move(kept);
+}
+
+void fleet_core::ScheduleAnswers() {
+  if (!std::exchange(is_answer_scheduled_, true)) {
+    loop_.After(kAnswerDelay, [this] { AnswerWatchers(); });
+  }
+}
+
+void fleet_core::Absorb(const observations& seen) {
+  const steady_time now = clock_.Now();
+  // Failures last: the order within a report is not known, and the newest outcome weighs most.
+  for (const bool is_good_wanted : {true, false}) {
+    for (const outcome_note& outcome : seen.outcomes) {
+      if ((outcome.evidence == attempt_evidence::kGood) == is_good_wanted) {
+        evidence_.Observe(outcome, now);
+      }
+    }
+  }
+  for (const count_note& note : seen.workspaces) {
+    usage_.CountWorkspace(note.name, note.first, note.second, now);
+  }
+  for (const count_note& note : seen.services) {
+    usage_.CountService(note.name, note.first, note.second, now);
+  }
+  for (const crash_note& note : seen.crashes) {
+    crashes_.Note(note, now);
+  }
+  if (!seen.crashes.empty()) {
+    RefreshLimits();
+  }
+  if (evidence_.Refresh(now)) {
+    ScheduleAnswers();
+  }
+}
+
+void fleet_core::OnReport(report_request request) {
+  active_vms_[request.vm] = clock_.Now();
+  Absorb(request.seen);
+  observations& seen = request.seen;
+  const bool is_urgent =
+      !seen.crashes.empty() ||
+      std::any_of(seen.outcomes.begin(), seen.outcomes.end(), [](const outcome_note& outcome) {
+        return outcome.evidence != attempt_evidence::kGood;
+      });
+  const auto append = [](auto& to, auto& from) {
+    to.insert(to.end(), std::make_move_iterator(from.begin()), std::make_move_iterator(from.end()));
+  };
+  const auto merge = [](std::vector<count_note>& to, const std::vector<count_note>& from) {
+    for (const count_note& note : from) {
+      const auto found = std::find_if(to.begin(), to.end(), [&](const count_note& each) {
+        return each.name == note.name;
+      });
+      if (found == to.end()) {
+        to.push_back(note);
+      } else {
+        found->first += note.first;
+        found->second += note.second;
+      }
+    }
+  };
+  append(unshared_.outcomes, seen.outcomes);
+  append(unshared_.crashes, seen.crashes);
+  merge(unshared_.workspaces, seen.workspaces);
+  merge(unshared_.services, seen.services);
+  if (is_urgent) {
+    ScheduleShare();
+  }
+}
+
+void fleet_core::ScheduleShare() {
+  if (!std::exchange(is_share_scheduled_, true)) {
+    loop_.After(kShareDelay, [this] { Share(); });
+  }
+}
+
+void fleet_core::Share() {
+  is_share_scheduled_ = false;
+  const steady_time now = clock_.Now();
+  next_share_ = now + kShareInterval;
+  if (is_stopped_ || (unshared_.IsEmpty() && unshared_heard_.empty())) {
+    return;
+  }
+  share_request request;
+  request.core = settings_.name;
+  request.seen = std::exchange(unshared_, {});
+  for (const auto& [upstream, is_heard] : std::exchange(unshared_heard_, {})) {
+    request.heard.push_back(upstream);
+  }
+  request.active_vms = static_cast<std::uint32_t>(
+      std::count_if(active_vms_.begin(), active_vms_.end(),
+                    [&](const auto& item) { return now - item.second < kVmActive; }));
+  for (const group_member& member : status_.members) {
+    if (rpc_channel* channel = ChannelTo(member.name)) {
+      channel->Call<done_reply>("fleet.share", request, kShareTimeout,
+                                [](const rpc_result<done_reply>&) {
+                                  // Evidence is soft state: what is lost is seen again.
+                                });
+    }
+  }
+}
+
+void fleet_core::OnShare(const share_request& request) {
+  const steady_time now = clock_.Now();
+  peer_counts_[request.core] = {request.active_vms, now};
+  for (const upstream_handle upstream : request.heard) {
+    evidence_.Hear(upstream, now);
+  }
+  Absorb(request.seen);
+}
+
+std::uint32_t fleet_core::CountActiveVms() const {
+  const steady_time now = clock_.Now();
+  auto count = static_cast<std::uint32_t>(
+      std::count_if(active_vms_.begin(), active_vms_.end(),
+                    [&](const auto& item) { return now - item.second < kVmActive; }));
+  for (const auto& [name, counts] : peer_counts_) {
+    if (now - counts.at < kPeerActive) {
+      count += counts.active_vms;
+    }
+  }
+  return std::max(count, 1U);
+}
+
+void fleet_core::RefreshPolicy() {
+  const std::uint64_t version = state_.PolicyVersion();
+  if (version == (policy_ ? policy_->Version() : 0)) {
+    return;
+  }
+  const policy_document document = state_.Policy();
+  policy_ = Recover(
+      [&]() -> result<policy_ptr> {
+        BOOST_LEAF_AUTO(text, UnpackText(document.packed_text));
+        BOOST_LEAF_AUTO(policy, decoder_(text));
+        return std::make_shared<const policy_index>(std::move(policy));
+      },
+      [&](const error& failure) {
+        log_event(log_level::kError, "policy_unreadable")
+            .Field("version", version)
+            .Field("cause", failure.detail);
+        return policy_;
+      });
+  log_event(log_level::kInfo, "policy_in_force").Field("version", version);
+}
+
+void fleet_core::RefreshLimits() {
+  const steady_time now = clock_.Now();
+  shared_limits present;
+  if (policy_) {
+    for (const policy_workspace& workspace : policy_->Policy().workspaces) {
+      const double share = usage_.AdmittedShare(
+          workspace.name,
+          {workspace.rate_per_second, workspace.burst, settings_.rate_window}, now);
+      const auto per_mille =
+          static_cast<std::uint32_t>(share * kPerMille) / kShareStep * kShareStep;
+      if (per_mille < kPerMille) {
+        present.workspaces.push_back({workspace.name, per_mille});
+      }
+    }
+    for (const policy_service& service : policy_->Policy().services) {
+      if (usage_.AreRepeatsScarce(service.name, settings_.repeats, now)) {
+        present.scarce_services.push_back(service.name);
+      }
+    }
+  }
+  present.blocked_requests = crashes_.Blocked(now);
+  const std::uint32_t active = CountActiveVms();
+  // A few VMs more or less change nothing for the others.
+  const bool is_similar = active * 10 >= limits_.active_vms * 9 && active * 9 <= limits_.active_vms * 10;
+  present.active_vms = is_similar ? limits_.active_vms : active;
+  if (present == limits_) {
+    return;
+  }
+  if (present.workspaces != limits_.workspaces ||
+      present.scarce_services != limits_.scarce_services ||
+      present.blocked_requests != limits_.blocked_requests) {
+    log_event event(log_level::kInfo, "limits_changed");
+    for (const workspace_share& share : present.workspaces) {
+      event.Field("workspace " + share.workspace, static_cast<int>(share.per_mille));
+    }
+    for (const std::string& service : present.scarce_services) {
+      event.Field("repeats of " + service, "scarce");
+    }
+    event.Field("blocked_requests", std::uint64_t(present.blocked_requests.size()));
+  }
+  limits_ = std::move(present);
+  ++limits_revision_;
+  ScheduleAnswers();
+}
+
+void fleet_core::ExpireSilent() {
+  const steady_time now = clock_.Now();
+  if (now < next_expiry_) {
+    return;
+  }
+  next_expiry_ = now + kExpiryInterval;
+  std::set<upstream_handle> known;
+  fleet_command command;
+  const auto silent = evidence_.SilentFor(kExpireAfter, now);
+  for (const upstream_entry& entry : state_.Upstreams()) {
+    if (entry.state == upstream_state::kGone) {
+      continue;
+    }
+    known.insert(entry.handle);
+    if (std::find(silent.begin(), silent.end(), entry.handle) != silent.end()) {
+      log_event(log_level::kInfo, "upstream_expired").Field("upstream", entry.id);
+      command.expired.push_back(entry.handle);
+    }
+  }
+  evidence_.Retain(known);
+  if (!command.expired.empty()) {
+    replica_->Propose(Encode(command), [](const rpc_result<std::string>&) {
+      // Proposed again while the upstream stays silent.
+    });
+  }
+}
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/fleet/messages.h
@@ -0,0 +1,238 @@
+/// The inner protocol between entry VMs and core VMs, and between core VMs.
+///
+/// `fleet.watch` (entry VM to core VM): what has changed since the last answer; the call is held
+/// until there is news or its hold time has passed. `fleet.report` (entry VM to core VM): outcomes
+/// and counts. `fleet.share` (core VM to core VM): the same, pooled. `fleet.propose` and
+/// `fleet.join` (to the leader): an entry for the log; a machine that wants to be a member.
+#pragma once
+
+#include "fleet/fleet_state.h"
+#include "fleet/health_filter.h"
+#include "fleet/member_keeper.h"
+#include "wire/codec.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace corianderhoist {
+
+/// Outcome of one attempt at an upstream.
+struct outcome_note {
+  upstream_handle upstream = 0;
+  attempt_evidence evidence = attempt_evidence::kGood;
+  /// Time to the whole answer in hundredths of the route's objective; 0 when there is none.
+  std::uint32_t pace = 0;
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.upstream);
+    visit(2, self.evidence);
+    visit(3, self.pace);
+  }
+};
+
+/// Two counts under one name: admitted and refused requests of a workspace, or requests and repeats
+/// of a service.
+struct count_note {
+  std::string name;
+  std::uint64_t first = 0;
+  std::uint64_t second = 0;
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.name);
+    visit(2, self.first);
+    visit(3, self.second);
+  }
+};
+
+/// A request has ended an upstream that ran it, or has run well after all.
+struct crash_note {
+  std::uint64_t fingerprint = 0;  ///< Of workspace, method, target and body.
+  upstream_handle upstream = 0;
+  bool is_cleared = false;
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.fingerprint);
+    visit(2, self.upstream);
+    visit(3, self.is_cleared);
+  }
+};
+
+/// What was seen since the last report.
+struct observations {
+  std::vector<outcome_note> outcomes;
+  std::vector<count_note> workspaces;
+  std::vector<count_note> services;
+  std::vector<crash_note> crashes;
+
+  bool IsEmpty() const {
+    return outcomes.empty() && workspaces.empty() && services.empty() && crashes.empty();
+  }
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.outcomes);
+    visit(2, self.workspaces);
+    visit(3, self.services);
+    visit(4, self.crashes);
+  }
+};
+
+struct report_request {
+  std::string vm;
+  observations seen;
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.vm);
+    visit(2, self.seen);
+  }
+};
+
+
+/// How an upstream does, from the outcomes of all VMs.
+struct upstream_condition {
+  upstream_handle upstream = 0;
+  std::uint32_t failing = 0;  ///< Probability that it is failing, in 1/255.
+  std::uint32_t pace = 0;     ///< Mean of `outcome_note::pace`; 0 when not known.
+  bool is_silent = false;     ///< Its announcements have stopped.
+
+  bool operator==(const upstream_condition&) const = default;
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.upstream);
+    visit(2, self.failing);
+    visit(3, self.pace);
+    visit(4, self.is_silent);
+  }
+};
+
+/// A workspace of which not every request may be admitted.
+struct workspace_share {
+  std::string workspace;
+  std::uint32_t per_mille = 1000;
+
+  bool operator==(const workspace_share&) const = default;
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.workspace);
+    visit(2, self.per_mille);
+  }
+};
+
+/// What concerns all VMs at once; small, sent whole when it changes.
+struct shared_limits {
+  std::vector<workspace_share> workspaces;      ///< Only those that are limited now.
+  std::vector<std::string> scarce_services;     ///< Services whose repeats are nearly used up.
+  std::vector<std::uint64_t> blocked_requests;  ///< Fingerprints of requests that crash upstreams.
+  std::uint32_t active_vms = 1;                 ///< Entry VMs that have reported lately.
+
+  bool operator==(const shared_limits&) const = default;
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.workspaces);
+    visit(2, self.scarce_services);
+    visit(3, self.blocked_requests);
+    visit(4, self.active_vms);
+  }
+};
+
+struct watch_request {
+  std::string vm;
+  std::uint64_t policy_version = 0;  ///< What the entry VM has.
+  std::uint64_t roster_index = 0;
+  std::uint64_t core_life = 0;  ///< Of the core VM that gave the two revisions below.
+  std::uint64_t conditions_revision = 0;
+  std::uint64_t limits_revision = 0;
+  std::chrono::milliseconds hold{};
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.vm);
+    visit(2, self.policy_version);
+    visit(3, self.roster_index);
+    visit(4, self.core_life);
+    visit(5, self.conditions_revision);
+    visit(6, self.limits_revision);
+    visit(7, self.hold);
+  }
+};
+
+struct watch_reply {
+  fleet_changes changes;
+  /// Time since the moment as of which `changes` is complete, at the moment of the answer.
+  std::chrono::milliseconds age{};
+  std::chrono::milliseconds held{};  ///< Time from the arrival of the call to the answer.
+  std::uint64_t core_life = 0;       ///< Random, one per start of the core VM.
+  std::uint64_t conditions_revision = 0;
+  std::vector<upstream_condition> conditions;  ///< Those that changed.
+  std::uint64_t limits_revision = 0;
+  std::vector<shared_limits> limits;  ///< One when it changed, else none.
+  std::vector<std::string> cores;     ///< Addresses of all core VMs, when the roster is whole.
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.changes);
+    visit(2, self.age);
+    visit(3, self.held);
+    visit(4, self.core_life);
+    visit(5, self.conditions_revision);
+    visit(6, self.conditions);
+    visit(7, self.limits_revision);
+    visit(8, self.limits);
+    visit(9, self.cores);
+  }
+};
+
+/// What one core VM has pooled since its last call.
+struct share_request {
+  std::string core;
+  observations seen;
+  std::vector<upstream_handle> heard;  ///< Upstreams whose announcements have arrived.
+  std::uint32_t active_vms = 0;        ///< That report to this core VM.
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.core);
+    visit(2, self.seen);
+    visit(3, self.heard);
+    visit(4, self.active_vms);
+  }
+};
+
+struct propose_request {
+  fleet_command command;
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.command);
+  }
+};
+
+struct join_request {
+  std::string name;
+  std::string address;
+  std::uint64_t replica_id = 0;
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.name);
+    visit(2, self.address);
+    visit(3, self.replica_id);
+  }
+};
+
+/// An answer without content.
+struct done_reply {
+  template <class Self, class Visitor>
+  static void ForEachField(Self&, Visitor&&) {}
+};
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/fleet/upstream_roster.cpp
@@ -0,0 +1,186 @@
+#include "fleet/upstream_roster.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace corianderhoist {
+namespace {
+
+// Entries of incarnations that are gone, kept so that late announcements of them are recognised.
+// Announcements may be late by seconds; a fleet that replaces this many upstreams in that time does
+// not exist yet.
+constexpr std::size_t kMaxGone = 2000;
+
+bool IsFarewell(const upstream_notice& notice) {
+  return notice.state == upstream_state::kGone;
+}
+
+}  // namespace
+
+const upstream_entry* upstream_roster::Find(const std::string& id) const {
+  const auto found = by_id_.find(id);
+  return found == by_id_.end() ? nullptr : Find(found->second);
+}
+
+const upstream_entry* upstream_roster::Find(upstream_handle handle) const {
+  const auto found = entries_.find(handle);
+  return found == entries_.end() ? nullptr : &found->second;
+}
+
+// A late announcement of a start that ended before another upstream began at the address.
+bool upstream_roster::IsDeadStart(const upstream_notice& notice) const {
+  const auto at = by_address_.find(notice.address);
+  if (at == by_address_.end()) {
+    return false;
+  }
+  const upstream_entry* other = Find(at->second);
+  return other != nullptr && other->id != notice.id && notice.born_ms != 0 &&
+         other->born_ms > notice.born_ms;
+}
+
+upstream_roster::effect upstream_roster::EffectOf(const upstream_notice& notice) const {
+  const upstream_entry* known = Find(notice.id);
+  if (known == nullptr) {
+    return IsFarewell(notice) || !IsDeadStart(notice) ? effect::kReplace : effect::kNone;
+  }
+  const bool is_other_start = notice.born_ms != 0 && notice.born_ms != known->born_ms;
+  if (is_other_start) {
+    return notice.born_ms > known->born_ms && !IsDeadStart(notice) ? effect::kReplace
+                                                                   : effect::kNone;
+  }
+  if (IsFarewell(notice)) {
+    return known->state == upstream_state::kGone ? effect::kNone : effect::kUpdate;
+  }
+  if (notice.sequence <= known->sequence) {
+    return effect::kNone;
+  }
+  switch (known->state) {
+    case upstream_state::kGone:
+      // `sequence` is not reset by a farewell, only by an expiry for silence.
+      return known->sequence < 0 && !IsDeadStart(notice) ? effect::kReplace : effect::kNone;
+    case upstream_state::kDraining:
+      return effect::kNone;
+    case upstream_state::kReady:
+      break;
+  }
+  const bool is_same = notice.state == known->state && notice.address == known->address &&
+                       notice.service == known->service && notice.slots == known->slots &&
+                       notice.data_centre == known->data_centre;
+  return is_same ? effect::kNone : effect::kUpdate;
+}
+
+bool upstream_roster::IsNews(const upstream_notice& notice) const {
+  return EffectOf(notice) != effect::kNone;
+}
+
+bool upstream_roster::Apply(const upstream_notice& notice, std::uint64_t index) {
+  const effect what = EffectOf(notice);
+  if (what == effect::kNone) {
+    return false;
+  }
+  if (what == effect::kUpdate) {
+    upstream_entry& entry = entries_.at(by_id_.at(notice.id));
+    entry.state = notice.state;
+    entry.sequence = std::max(entry.sequence, notice.sequence);
+    entry.changed_index = index;
+    if (!IsFarewell(notice)) {
+      if (entry.address != notice.address) {
+        SupersedeAt(notice, index);
+        by_address_[notice.address] = entry.handle;
+      }
+      entry.address = notice.address;
+      entry.service = notice.service;
+      entry.data_centre = notice.data_centre;
+      entry.slots = notice.slots;
+    }
+    return true;
+  }
+  if (const auto former = by_id_.find(notice.id); former != by_id_.end()) {
+    upstream_entry& entry = entries_.at(former->second);
+    entry.state = upstream_state::kGone;
+    entry.changed_index = index;
+  }
+  SupersedeAt(notice, index);
+  upstream_entry added{next_handle_++, notice.id,          notice.born_ms, notice.address,
+                       notice.service, notice.data_centre, notice.slots,   notice.state,
+                       notice.sequence, index};
+  by_id_[added.id] = added.handle;
+  if (!added.address.empty()) {
+    by_address_[added.address] = added.handle;
+  }
+  entries_.emplace(added.handle, std::move(added));
+  ForgetOldest();
+  return true;
+}
+
+// Whoever was at the address before has ended.
+void upstream_roster::SupersedeAt(const upstream_notice& notice, std::uint64_t index) {
+  const auto at = by_address_.find(notice.address);
+  if (notice.address.empty() || at == by_address_.end()) {
+    return;
+  }
+  upstream_entry& former = entries_.at(at->second);
+  if (former.id != notice.id && former.state != upstream_state::kGone) {
+    former.state = upstream_state::kGone;
+    former.changed_index = index;
+  }
+}
+
+void upstream_roster::Expire(upstream_handle handle, std::uint64_t index) {
+  const auto found = entries_.find(handle);
+  if (found == entries_.end() || found->second.state == upstream_state::kGone) {
+    return;
+  }
+  found->second.state = upstream_state::kGone;
+  found->second.sequence = -1;
+  found->second.changed_index = index;
+}
+
+std::vector<upstream_entry> upstream_roster::ChangedSince(std::uint64_t index) const {
+  std::vector<upstream_entry> changed;
+  for (const auto& [handle, entry] : entries_) {
+    if (entry.changed_index > index) {
+      changed.push_back(entry);
+    }
+  }
+  return changed;
+}
+
+void upstream_roster::ForgetOldest() {
+  const auto gone = static_cast<std::size_t>(
+      std::count_if(entries_.begin(), entries_.end(), [](const auto& item) {
+        return item.second.state == upstream_state::kGone;
+      }));
+  if (gone <= kMaxGone) {
+    return;
+  }
+  const auto oldest = std::find_if(entries_.begin(), entries_.end(), [](const auto& item) {
+    return item.second.state == upstream_state::kGone;
+  });
+  forgotten_index_ = std::max(forgotten_index_, oldest->second.changed_index);
+  const upstream_handle handle = oldest->first;
+  std::erase_if(by_id_, [&](const auto& item) { return item.second == handle; });
+  std::erase_if(by_address_, [&](const auto& item) { return item.second == handle; });
+  entries_.erase(oldest);
+}
+
+void upstream_roster::Restore(std::vector<upstream_entry> entries,
+                              std::uint32_t next_handle,
+                              std::uint64_t forgotten_index) {
+  entries_.clear();
+  by_id_.clear();
+  by_address_.clear();
+  next_handle_ = next_handle;
+  forgotten_index_ = forgotten_index;
+  // In the order of the handles, so that the newest entry owns its id and its address.
+  for (upstream_entry& entry : entries) {
+    by_id_[entry.id] = entry.handle;
+    if (!entry.address.empty()) {
+      by_address_[entry.address] = entry.handle;
+    }
+    const upstream_handle handle = entry.handle;
+    entries_.emplace(handle, std::move(entry));
+  }
+}
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/fleet/usage_ledger.cpp
@@ -0,0 +1,97 @@
+#include "fleet/usage_ledger.h"
+
+#include <algorithm>
+
+namespace corianderhoist {
+namespace {
+
+using std::chrono::milliseconds;
+
+// How far ahead admission looks: longer than a count takes to reach every VM.
+constexpr milliseconds kHorizon(1000);
+// Counts of the last half second may not have arrived from every VM.
+constexpr double kTargetShare = 0.95;
+// Below this share of the limit nothing is refused.
+constexpr double kFreeShare = 0.9;
+// Repeats are free until this share of the budget is used. The rest covers what all VMs send until
+// they have heard of it.
+constexpr double kFreeRepeats = 0.5;
+
+std::int64_t PartOf(steady_time now) {
+  return now.time_since_epoch() / sliding_count::kPart;
+}
+
+}  // namespace
+
+void sliding_count::Add(std::uint64_t amount, steady_time now) {
+  const std::int64_t number = PartOf(now);
+  part& current = parts_[static_cast<std::size_t>(number) % kParts];
+  if (current.number != number) {
+    current = {number, 0};
+  }
+  current.count += amount;
+}
+
+std::uint64_t sliding_count::Sum(milliseconds window, steady_time now) const {
+  const std::int64_t last = PartOf(now);
+  const std::int64_t first = last - window / kPart + 1;
+  std::uint64_t sum = 0;
+  for (const part& each : parts_) {
+    if (each.number >= first && each.number <= last) {
+      sum += each.count;
+    }
+  }
+  return sum;
+}
+
+void usage_ledger::CountWorkspace(const std::string& workspace,
+                                  std::uint64_t admitted,
+                                  std::uint64_t refused,
+                                  steady_time now) {
+  workspace_counts& counts = workspaces_[workspace];
+  counts.admitted.Add(admitted, now);
+  counts.refused.Add(refused, now);
+}
+
+void usage_ledger::CountService(const std::string& service,
+                                std::uint64_t requests,
+                                std::uint64_t repeats,
+                                steady_time now) {
+  service_counts& counts = services_[service];
+  counts.requests.Add(requests, now);
+  counts.repeats.Add(repeats, now);
+}
+
+double usage_ledger::AdmittedShare(const std::string& workspace,
+                                   const workspace_rate& limit,
+                                   steady_time now) const {
+  const auto found = workspaces_.find(workspace);
+  if (limit.rate_per_second == 0 || found == workspaces_.end()) {
+    return 1;
+  }
+  const workspace_counts& counts = found->second;
+  const double allowed = static_cast<double>(limit.rate_per_second) *
+                             std::chrono::duration<double>(limit.window).count() +
+                         static_cast<double>(limit.burst);
+  const auto spent = static_cast<double>(counts.admitted.Sum(limit.window - kHorizon, now));
+  const auto demand =
+      static_cast<double>(counts.admitted.Sum(kHorizon, now) + counts.refused.Sum(kHorizon, now));
+  if (demand == 0 || spent + demand <= allowed * kFreeShare) {
+    return 1;
+  }
+  return std::clamp((allowed * kTargetShare - spent) / demand, 0.0, 1.0);
+}
+
+bool usage_ledger::AreRepeatsScarce(const std::string& service,
+                                    const repeat_bound& bound,
+                                    steady_time now) const {
+  const auto found = services_.find(service);
+  if (found == services_.end()) {
+    return false;
+  }
+  const auto requests = static_cast<double>(found->second.requests.Sum(bound.window, now));
+  const auto repeats = static_cast<double>(found->second.repeats.Sum(bound.window, now));
+  return repeats > kFreeRepeats * (bound.ratio * requests + bound.extra);
+}
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/fleet/usage_ledger.h
@@ -0,0 +1,84 @@
+/// Counts over all VMs: requests of workspaces against their rate, and repeated requests of
+/// services against their budget.
+#pragma once
+
+#include "base/clock.h"
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace corianderhoist {
+
+/// Counts of the last ten seconds, in parts of 250 ms. Not thread safe.
+class sliding_count {
+ public:
+  void Add(std::uint64_t amount, steady_time now);
+  /// Sum over the last `window`, to the resolution of a part.
+  std::uint64_t Sum(std::chrono::milliseconds window, steady_time now) const;
+
+  static constexpr std::chrono::milliseconds kPart{250};
+  static constexpr std::size_t kParts = 44;  // 11 s, so that a window of 10 s has whole parts.
+
+ private:
+  struct part {
+    std::int64_t number = -1;  ///< Time in units of `kPart`.
+    std::uint64_t count = 0;
+  };
+  std::array<part, kParts> parts_{};
+};
+
+/// Bounds on the requests of a workspace: in any `window`, at most rate x window + burst.
+struct workspace_rate {
+  std::uint64_t rate_per_second = 0;
+  std::uint64_t burst = 0;
+  std::chrono::milliseconds window{5000};
+};
+
+/// Bound on repeats: in any `window`, at most ratio x requests + extra, per service.
+struct repeat_bound {
+  double ratio = 0.2;
+  std::chrono::milliseconds window{10'000};
+  double extra = 0;
+};
+
+/// Answers the load of one workspace that sends several times its rate, and that of failing
+/// upstreams that would make every VM repeat at once. Not thread safe.
+class usage_ledger {
+ public:
+  void CountWorkspace(const std::string& workspace,
+                      std::uint64_t admitted,
+                      std::uint64_t refused,
+                      steady_time now);
+  void CountService(const std::string& service,
+                    std::uint64_t requests,
+                    std::uint64_t repeats,
+                    steady_time now);
+
+  /// Share of the workspace's requests that the VMs may admit now, 0 to 1. It is 1 until the demand
+  /// of the last second would reach the limit within the next one.
+  double AdmittedShare(const std::string& workspace,
+                       const workspace_rate& limit,
+                       steady_time now) const;
+  /// Whether so much of the budget is used that each VM must keep to its own part of it.
+  bool AreRepeatsScarce(const std::string& service,
+                        const repeat_bound& bound,
+                        steady_time now) const;
+
+ private:
+  struct workspace_counts {
+    sliding_count admitted;
+    sliding_count refused;
+  };
+  struct service_counts {
+    sliding_count requests;
+    sliding_count repeats;
+  };
+  std::map<std::string, workspace_counts> workspaces_;
+  std::map<std::string, service_counts> services_;
+};
+
+}  // namespace corianderhoist
--- a/src/http/answer_reader.cpp
+++ b/src/http/answer_reader.cpp
@@ -30,7 +30,8 @@
   beast_http::response_parser<beast_http::buffer_body> beast;
 };
 
-answer_reader::answer_reader(bool is_head_request) : is_head_request_(is_head_request) {}
+answer_reader::answer_reader(bool is_head_request, close_ended_answers close_ended)
+    : is_head_request_(is_head_request), close_ended_(close_ended) {}
 
 answer_reader::~answer_reader() = default;
 
@@ -91,19 +92,24 @@
   if (CountHeaders(head.headers, "Content-Length") > 1 || (has_length && beast.chunked())) {
     return Broken("length of the answer is ambiguous");
   }
-  if (!beast.is_done() && beast.need_eof()) {
+  is_close_ended_ = !beast.is_done() && beast.need_eof();
+  if (is_close_ended_ && close_ended_ == close_ended_answers::kRefused) {
     return Broken("answer has no length");
   }
-  if (!beast.chunked()) {
+  if (!beast.chunked() && !is_close_ended_) {
     const auto length = beast.content_length();
     head.length = length ? std::uint64_t(*length) : 0;
   }
-  is_keep_alive_ = beast.keep_alive();
+  is_keep_alive_ = beast.keep_alive() && !is_close_ended_;
   is_head_complete_ = true;
   on_head(std::move(head));
   return {};
 }
 
+bool answer_reader::FinishAtClose() {
+  return is_head_complete_ && is_close_ended_;
+}
+
 result<bool> answer_reader::ReadBody(std::string& buffer) {
   auto& beast = parser_->beast;
   std::array<char, kBlockBytes> block;
--- a/src/http/answer_sink.cpp
+++ b/src/http/answer_sink.cpp
@@ -4,6 +4,21 @@
 
 namespace corianderhoist {
 
+namespace {
+
+// Whole seconds where possible; a fraction is for callers that understand it.
+std::string FormatSeconds(std::chrono::milliseconds value) {
+  constexpr int kPerSecond = 1000;
+  std::string text = std::to_string(value.count() / kPerSecond);
+  if (const auto rest = value.count() % kPerSecond; rest != 0) {
+    const std::string digits = std::to_string(rest);
+    text += "." + std::string(3 - digits.size(), '0') + digits;
+  }
+  return text;
+}
+
+}  // namespace
+
 void SendWhole(answer_sink& sink, answer_head head, std::string_view body) {
   head.length = body.size();
   sink.Begin(head);
@@ -32,7 +47,7 @@
                   {"Corianderhoist-Request-Id", std::string(request_id)}};
   const auto retry_after = why.retry_after ? why.retry_after : answer.retry_after;
   if (retry_after) {
-    head.headers.push_back({"Retry-After", std::to_string(retry_after->count())});
+    head.headers.push_back({"Retry-After", FormatSeconds(*retry_after)});
   }
   SendWhole(sink, std::move(head), body);
 }
--- a/src/http/answer_sink.h
+++ b/src/http/answer_sink.h
@@ -36,7 +36,7 @@
 struct refusal {
   error_kind kind = error_kind::kInternal;
   std::string detail;
-  std::optional<std::chrono::seconds> retry_after;  ///< In place of the table's value.
+  std::optional<std::chrono::milliseconds> retry_after;  ///< In place of the table's value.
 };
 
 /// Answers with a head and a whole body.
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -4,13 +4,16 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+
+#include <array>
 
 namespace corianderhoist {
 namespace {
 
 namespace beast_http = boost::beast::http;
 
+constexpr std::size_t kBlockBytes = 16UL << 10U;
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 // Longest chunk-size line or trailer that is kept until it is complete.
 constexpr std::size_t kMaxChunkLineBytes = 4096;
@@ -28,7 +31,7 @@
 }  // namespace
 
 struct request_reader::parser {
-  beast_http::request_parser<beast_http::string_body> beast;
+  beast_http::request_parser<beast_http::buffer_body> beast;
 };
 
 request_reader::request_reader(request_limits limits) : limits_(limits) {}
@@ -71,7 +74,6 @@
   BOOST_LEAF_CHECK(CheckRawHead(head));
   parser_ = std::make_unique<parser>();
   auto& beast = parser_->beast;
-  beast.eager(true);
   beast.header_limit(static_cast<std::uint32_t>(limits_.header_bytes));
   beast.body_limit(limits_.body_bytes);
   boost::system::error_code code;
@@ -96,6 +98,10 @@
   if (on_head) {
     BOOST_LEAF_CHECK(on_head(request_));
   }
+  if (!beast.chunked()) {
+    const auto length = beast.content_length();
+    body_length_ = length ? std::uint64_t(*length) : 0;
+  }
   is_continue_expected_ = FindHeader(request_.headers, "Expect") != nullptr && !beast.is_done();
   return {};
 }
@@ -103,23 +109,34 @@
 result<request_reader::progress> request_reader::ReadBody(std::string& buffer) {
   auto& beast = parser_->beast;
   const std::size_t least = beast.chunked() ? kShortestChunkedRest : 1;
+  std::array<char, kBlockBytes> block;
   while (!beast.is_done() && buffer.size() >= least) {
+    auto& body = beast.get().body();
+    body.data = block.data();
+    body.size = block.size();
+    body.more = true;
     boost::system::error_code code;
     const std::size_t used = beast.put(boost::asio::buffer(buffer.data(), buffer.size()), code);
     buffer.erase(0, used);
     raw_body_bytes_ += used;
-    if (code && code != beast_http::error::need_more) {
+    const std::string_view part(block.data(), block.size() - body.size);
+    if (!part.empty() && on_body) {
+      on_body(part);
+    } else {
+      request_.body.append(part);
+    }
+    const bool is_block_full = code == beast_http::error::need_buffer;
+    if (code && code != beast_http::error::need_more && !is_block_full) {
       return Fail(KindOf(code), "body is not valid: " + code.message());
     }
     if (raw_body_bytes_ > limits_.body_bytes * kMaxFramingFactor + kMaxChunkLineBytes) {
       return Fail(error_kind::kBodyTooLarge, "body has too many chunks");
     }
-    if (used == 0 || code) {
+    if (used == 0 && part.empty()) {
       break;
     }
   }
   if (beast.is_done()) {
-    request_.body = std::move(beast.get().body());
     return progress::kComplete;
   }
   if (buffer.size() > kMaxChunkLineBytes) {
--- a/src/http/request_reader.h
+++ b/src/http/request_reader.h
@@ -7,7 +7,9 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace corianderhoist {
 
@@ -31,6 +33,9 @@
   /// Is called once the header is known and before the body is read; a failure refuses the request.
   std::function<result<void>(const http_request&)> on_head;
 
+  /// Receives the body in parts; without it the body is collected in the request.
+  std::function<void(std::string_view)> on_body;
+
   /// Uses bytes from the front of `buffer` and removes them. Fails with the error kind of the
   /// refusal; the connection must then be closed, because the next request cannot be found.
   result<progress> Read(std::string& buffer);
@@ -40,6 +45,8 @@
   bool TakeExpectation();
   /// Whether any byte of the request has arrived.
   bool HasStarted() const { return has_started_; }
+  /// Length of the body that the header announces; empty for a chunked one.
+  std::optional<std::uint64_t> BodyLength() const { return body_length_; }
   http_request Take() { return std::move(request_); }
 
  private:
@@ -51,6 +58,7 @@
   const request_limits limits_;
   std::unique_ptr<parser> parser_;
   http_request request_;
+  std::optional<std::uint64_t> body_length_;
   std::size_t raw_body_bytes_ = 0;
   bool has_started_ = false;
   bool is_head_complete_ = false;
--- /dev/null
+++ b/src/serving/fleet_link.cpp
@@ -0,0 +1,277 @@
+#include "serving/fleet_link.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace corianderhoist {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Without news the answer comes after this time; it renews the permission to serve keyed requests.
+constexpr milliseconds kHold(400);
+// A core VM that does not answer for this long beyond the hold is given up.
+constexpr milliseconds kPatience(450);
+constexpr milliseconds kFirstPatience(700);
+// A core VM whose own state is older follows no leader.
+constexpr milliseconds kMaxCoreAge(1100);
+constexpr milliseconds kShortestShun(250);
+constexpr milliseconds kLongestShun(2000);
+constexpr milliseconds kRetryPause(50);
+constexpr milliseconds kReportTimeout(1000);
+constexpr milliseconds kReportDelay(150);
+constexpr milliseconds kUrgentReportDelay(2);
+constexpr milliseconds kMeasureInterval(5000);
+constexpr milliseconds kMeasureTimeout(500);
+// The nearest core VM is kept unless another one is clearly nearer.
+constexpr int kNearerFactor = 2;
+
+}  // namespace
+
+fleet_link::fleet_link(io_loop& loop,
+                       fleet_link_settings settings,
+                       fleet_view& view,
+                       const clock_source& clock)
+    : loop_(loop), settings_(std::move(settings)), view_(view), clock_(clock) {}
+
+fleet_link::~fleet_link() {
+  *is_alive_ = false;
+}
+
+void fleet_link::Start() {
+  SetSeeds(settings_.seeds);
+  Watch();
+}
+
+void fleet_link::SetSeeds(std::vector<endpoint> seeds) {
+  settings_.seeds = std::move(seeds);
+  for (const endpoint& seed : settings_.seeds) {
+    AddCore(seed);
+  }
+}
+
+fleet_link::core& fleet_link::AddCore(const endpoint& address) {
+  std::unique_ptr<core>& added = cores_[address];
+  if (!added) {
+    added = std::make_unique<core>();
+    added->address = address;
+  }
+  return *added;
+}
+
+rpc_channel& fleet_link::ChannelOf(core& which) {
+  if (!which.channel) {
+    which.channel = std::make_unique<rpc_channel>(loop_, nullptr, which.address,
+                                                  FormatEndpoint(which.address));
+  }
+  return *which.channel;
+}
+
+// The nearest core VM that is not shunned; unmeasured ones first, so that all become measured. When
+// all are shunned, the one whose time ends first.
+fleet_link::core* fleet_link::Choose() {
+  const steady_time now = clock_.Now();
+  core* best = nullptr;
+  const auto is_better = [&](const core& a, const core& b) {
+    const bool is_a_shunned = a.shunned_until > now;
+    const bool is_b_shunned = b.shunned_until > now;
+    if (is_a_shunned != is_b_shunned) {
+      return is_b_shunned;
+    }
+    return is_a_shunned ? a.shunned_until < b.shunned_until : a.round_trip < b.round_trip;
+  };
+  for (const auto& [address, each] : cores_) {
+    if (best == nullptr || is_better(*each, *best)) {
+      best = each.get();
+    }
+  }
+  if (best != nullptr && current_ != nullptr && current_ != best &&
+      current_->shunned_until <= now && current_->round_trip.count() > 0 &&
+      best->round_trip * kNearerFactor > current_->round_trip) {
+    return current_;
+  }
+  return best;
+}
+
+void fleet_link::Watch() {
+  core* chosen = Choose();
+  if (chosen == nullptr) {
+    loop_.After(kRetryPause, [this, alive = is_alive_] {
+      if (*alive) {
+        Watch();
+      }
+    });
+    return;
+  }
+  if (chosen != current_) {
+    log_event(log_level::kInfo, "core_chosen")
+        .Field("core", FormatEndpoint(chosen->address))
+        .Field("round_trip_us", std::int64_t(chosen->round_trip.count()));
+    current_ = chosen;
+  }
+  watch_request request = view_.Known();
+  request.vm = settings_.vm;
+  request.hold = chosen->round_trip.count() == 0 ? milliseconds(0) : kHold;
+  const steady_time sent_at = clock_.Now();
+  const milliseconds patience = request.hold.count() == 0 ? kFirstPatience : kHold + kPatience;
+  ChannelOf(*chosen).Call<watch_reply>(
+      "fleet.watch", request, patience,
+      [this, alive = is_alive_, chosen, sent_at](const rpc_result<watch_reply>& reply) {
+        if (*alive) {
+          OnReply(*chosen, reply, sent_at);
+        }
+      });
+}
+
+void fleet_link::OnReply(core& which, const rpc_result<watch_reply>& reply, steady_time sent_at) {
+  if (const auto* failure = std::get_if<rpc_failure>(&reply)) {
+    Shun(which, failure->detail);
+    Watch();
+    return;
+  }
+  const steady_time now = clock_.Now();
+  const auto& news = std::get<watch_reply>(reply);
+  const auto round_trip = std::chrono::duration_cast<std::chrono::microseconds>(
+      now - sent_at - news.held);
+  const auto measured = std::max(round_trip, std::chrono::microseconds(1));
+  which.round_trip =
+      which.round_trip.count() == 0 ? measured : std::min(which.round_trip, measured);
+  for (const std::string& address : news.cores) {
+    Recover(
+        [&]() -> result<void> {
+          BOOST_LEAF_AUTO(parsed, ParseEndpoint(address));
+          AddCore(parsed);
+          return {};
+        },
+        [&](const error& failure) {
+          log_event(log_level::kWarning, "core_address_invalid").Field("cause", failure.detail);
+        });
+  }
+  view_.Apply(news, sent_at, now);
+  if (news.age > kMaxCoreAge) {
+    Shun(which, "its state is " + std::to_string(news.age.count()) + " ms old");
+  } else {
+    if (std::exchange(which.failures, 0) > 0) {
+      log_event(log_level::kInfo, "core_regained").Field("core", FormatEndpoint(which.address));
+    }
+    which.shunned_until = {};
+  }
+  if (on_news) {
+    on_news();
+  }
+  MeasureOthers();
+  Watch();
+}
+
+void fleet_link::Shun(core& which, const std::string& cause) {
+  const milliseconds pause =
+      std::min(kShortestShun * (1 << std::min(which.failures, 3)), kLongestShun);
+  ++which.failures;
+  which.shunned_until = clock_.Now() + pause;
+  if (which.failures == 1) {
+    log_event(log_level::kWarning, "core_lost")
+        .Field("core", FormatEndpoint(which.address))
+        .Field("cause", cause);
+  }
+}
+
+// One short call to each other core VM from time to time: it finds a nearer one, and keeps what is
+// known of the others' distance.
+void fleet_link::MeasureOthers() {
+  const steady_time now = clock_.Now();
+  const bool has_unmeasured = std::any_of(cores_.begin(), cores_.end(), [&](const auto& item) {
+    return item.second->round_trip.count() == 0 && item.second->shunned_until <= now;
+  });
+  if (now < next_measure_ || !has_unmeasured) {
+    return;
+  }
+  next_measure_ = now + kMeasureInterval;
+  for (const auto& [address, each] : cores_) {
+    core* other = each.get();
+    if (other == current_ || other->round_trip.count() != 0 || other->shunned_until > now) {
+      continue;
+    }
+    watch_request request = view_.Known();
+    request.vm = settings_.vm;
+    // What the core VM would send besides is of no use here.
+    request.policy_version = ~std::uint64_t(0) >> 1U;
+    request.roster_index = ~std::uint64_t(0) >> 1U;
+    const steady_time sent_at = clock_.Now();
+    ChannelOf(*other).Call<watch_reply>(
+        "fleet.watch", request, kMeasureTimeout,
+        [this, alive = is_alive_, other, sent_at](const rpc_result<watch_reply>& reply) {
+          if (!*alive) {
+            return;
+          }
+          if (const auto* news = std::get_if<watch_reply>(&reply)) {
+            const auto round_trip = std::chrono::duration_cast<std::chrono::microseconds>(
+                clock_.Now() - sent_at - news->held);
+            other->round_trip = std::max(round_trip, std::chrono::microseconds(1));
+          } else {
+            Shun(*other, std::get<rpc_failure>(reply).detail);
+          }
+        });
+  }
+}
+
+// ---- Reports ----
+
+void fleet_link::NoteOutcome(const outcome_note& outcome) {
+  unsent_.outcomes.push_back(outcome);
+  ScheduleReport(outcome.evidence != attempt_evidence::kGood);
+}
+
+void fleet_link::NoteWorkspace(const std::string& workspace, bool is_admitted) {
+  auto found = std::find_if(unsent_.workspaces.begin(), unsent_.workspaces.end(),
+                            [&](const count_note& note) { return note.name == workspace; });
+  if (found == unsent_.workspaces.end()) {
+    found = unsent_.workspaces.insert(found, {workspace, 0, 0});
+  }
+  ++(is_admitted ? found->first : found->second);
+  ScheduleReport(false);
+}
+
+void fleet_link::NoteService(const std::string& service, bool is_repeat) {
+  auto found = std::find_if(unsent_.services.begin(), unsent_.services.end(),
+                            [&](const count_note& note) { return note.name == service; });
+  if (found == unsent_.services.end()) {
+    found = unsent_.services.insert(found, {service, 0, 0});
+  }
+  ++(is_repeat ? found->second : found->first);
+  ScheduleReport(false);
+}
+
+void fleet_link::NoteCrash(const crash_note& note) {
+  unsent_.crashes.push_back(note);
+  ScheduleReport(true);
+}
+
+void fleet_link::ScheduleReport(bool is_urgent) {
+  if (is_urgent ? std::exchange(is_urgent_scheduled_, true)
+                : std::exchange(is_report_scheduled_, true)) {
+    return;
+  }
+  loop_.After(is_urgent ? kUrgentReportDelay : kReportDelay,
+              [this, alive = is_alive_, generation = report_generation_] {
+                if (*alive && generation == report_generation_) {
+                  Flush();
+                }
+              });
+}
+
+void fleet_link::Flush() {
+  ++report_generation_;
+  is_report_scheduled_ = is_urgent_scheduled_ = false;
+  if (unsent_.IsEmpty() || current_ == nullptr) {
+    return;
+  }
+  report_request request{settings_.vm, std::exchange(unsent_, {})};
+  ChannelOf(*current_).Call<done_reply>("fleet.report", request, kReportTimeout,
+                                        [](const rpc_result<done_reply>&) {
+                                          // A lost report is not repeated: its news would be old.
+                                        });
+}
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/serving/fleet_link.h
@@ -0,0 +1,80 @@
+/// The way from an entry VM to the core VMs: watches for news and reports what was seen.
+#pragma once
+
+#include "base/clock.h"
+#include "fleet/messages.h"
+#include "serving/fleet_view.h"
+#include "wire/io_loop.h"
+#include "wire/rpc.h"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace corianderhoist {
+
+struct fleet_link_settings {
+  std::string vm;
+  std::vector<endpoint> seeds;  ///< Core VMs to ask first; may be down or gone.
+};
+
+/// Follows one core VM, the one that answers fastest, and goes to another when it does not answer or
+/// is itself behind. Lives on the thread of its loop.
+class fleet_link {
+ public:
+  fleet_link(io_loop& loop, fleet_link_settings settings, fleet_view& view, const clock_source& clock);
+  ~fleet_link();
+  fleet_link(const fleet_link&) = delete;
+  fleet_link& operator=(const fleet_link&) = delete;
+
+  void Start();
+  /// Replaces the seeds, after a change of the settings.
+  void SetSeeds(std::vector<endpoint> seeds);
+
+  // What was seen; sent soon after a failure, otherwise collected for a moment.
+  void NoteOutcome(const outcome_note& outcome);
+  void NoteWorkspace(const std::string& workspace, bool is_admitted);
+  void NoteService(const std::string& service, bool is_repeat);
+  void NoteCrash(const crash_note& note);
+  /// Sends what is still held, before the process ends.
+  void Flush();
+
+  /// Called after each answer that was applied.
+  std::function<void()> on_news;
+
+ private:
+  struct core {
+    endpoint address;
+    std::unique_ptr<rpc_channel> channel;
+    std::chrono::microseconds round_trip{};  ///< Shortest seen; 0 before the first answer.
+    steady_time shunned_until{};
+    int failures = 0;
+  };
+
+  core& AddCore(const endpoint& address);
+  rpc_channel& ChannelOf(core& which);
+  core* Choose();
+  void Watch();
+  void OnReply(core& which, const rpc_result<watch_reply>& reply, steady_time sent_at);
+  void Shun(core& which, const std::string& cause);
+  void MeasureOthers();
+  void ScheduleReport(bool is_urgent);
+
+  io_loop& loop_;
+  fleet_link_settings settings_;
+  fleet_view& view_;
+  const clock_source& clock_;
+  std::map<endpoint, std::unique_ptr<core>> cores_;
+  core* current_ = nullptr;
+  observations unsent_;
+  std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
+  steady_time next_measure_{};
+  std::uint64_t report_generation_ = 0;
+  bool is_report_scheduled_ = false;
+  bool is_urgent_scheduled_ = false;
+};
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/serving/serving_vm.cpp
@@ -0,0 +1,202 @@
+#include "serving/serving_vm.h"
+
+#include "base/log.h"
+#include "observe/metrics.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace corianderhoist {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Granularity of the time limits of connections.
+constexpr milliseconds kSweepInterval(100);
+constexpr milliseconds kUpstreamSweepInterval(1000);
+// The state may be this old while the VM calls itself ready. A change of leaders takes less.
+constexpr milliseconds kReadyAge(3500);
+
+}  // namespace
+
+serving_vm::serving_vm(serving_vm_settings settings,
+                       policy_decoder decoder,
+                       const clock_source& clock)
+    : settings_(std::move(settings)), clock_(clock), loop_("serving") {
+  view_ = std::make_unique<fleet_view>(std::move(decoder));
+}
+
+serving_vm::~serving_vm() {
+  loop_.RunAndWait([this] {
+    sweep_timer_.reset();
+    listener_.reset();
+    connections_.clear();
+    if (context_) {
+      context_->flows.clear();
+    }
+  });
+  // Tasks posted by what has just ended still refer to the rest.
+  loop_.RunAndWait([] {});
+  loop_.RunAndWait([this] {
+    context_.reset();
+    link_.reset();
+    front_.reset();
+  });
+}
+
+result<void> serving_vm::Start() {
+  error failure;
+  bool has_failed = false;
+  loop_.RunAndWait([&] {
+    link_ = std::make_unique<fleet_link>(loop_, settings_.link, *view_, clock_);
+    link_->on_news = [this] { UpdateReady(); };
+    context_ = std::make_unique<serving_context>(settings_.serving, *view_, *link_, clock_);
+    front_ = std::make_unique<front_context>(front_context{
+        .clock = clock_,
+        .limits = [this] { return Limits(); },
+        .may_run_ahead =
+            [this](const http_request& request) {
+              const policy_ptr& policy = view_->Policy();
+              const std::string* host = FindHeader(request.headers, "Host");
+              const policy_route* route =
+                  policy && host != nullptr ? policy->FindRoute(*host, request.path) : nullptr;
+              return route != nullptr && route->is_idempotent;
+            },
+        .on_request =
+            [this](http_request request, std::shared_ptr<request_body> body,
+                   std::shared_ptr<answer_sink> sink) {
+              std::make_shared<request_flow>(*context_, std::move(request), std::move(body),
+                                             std::move(sink))
+                  ->Start();
+            },
+    });
+    listener_ = std::make_unique<tcp_listener>([this](int descriptor) { Accept(descriptor); });
+    Recover(
+        [&]() -> result<void> {
+          BOOST_LEAF_CHECK(listener_->Listen(settings_.listen));
+          return {};
+        },
+        [&](const error& cause) {
+          has_failed = true;
+          failure = cause;
+        });
+    sweep_timer_ = std::make_unique<QTimer>();
+    QObject::connect(sweep_timer_.get(), &QTimer::timeout, sweep_timer_.get(), [this] { Sweep(); });
+    sweep_timer_->start(kSweepInterval);
+    link_->Start();
+  });
+  return has_failed ? result<void>(Fail(failure.kind, failure.detail)) : result<void>();
+}
+
+void serving_vm::SetSeeds(std::vector<endpoint> seeds) {
+  loop_.Post([this, seeds = std::move(seeds)] { link_->SetSeeds(seeds); });
+}
+
+front_limits serving_vm::Limits() const {
+  front_limits limits;
+  if (const policy_ptr& policy = view_->Policy()) {
+    const caller_bounds& bounds = policy->Policy().bounds;
+    limits.request.header_bytes = bounds.header_bytes;
+    limits.request.body_bytes = bounds.body_bytes;
+    limits.header_timeout = bounds.header_timeout;
+    limits.idle_timeout = bounds.idle_timeout;
+  }
+  return limits;
+}
+
+void serving_vm::Accept(int descriptor) {
+  auto connection = std::make_shared<front_connection>(
+      *front_, [this](front_connection* ended) { connections_.erase(ended); });
+  connections_.emplace(connection.get(), connection);
+  connection->Start(descriptor);
+}
+
+void serving_vm::Sweep() {
+  const steady_time now = clock_.Now();
+  std::vector<std::shared_ptr<front_connection>> all;
+  all.reserve(connections_.size());
+  for (const auto& [key, connection] : connections_) {
+    all.push_back(connection);
+  }
+  for (const auto& connection : all) {
+    connection->CheckTime(now);
+  }
+  UpdateReady();
+  if (now >= next_upstream_sweep_) {
+    next_upstream_sweep_ = now + kUpstreamSweepInterval;
+    context_->connections.Sweep([this](upstream_handle handle) { return view_->IsKnown(handle); });
+    context_->book.Sweep();
+  }
+  if (is_draining_) {
+    PollDrain();
+  }
+}
+
+void serving_vm::UpdateReady() {
+  const bool is_ready =
+      !is_draining_ && view_->Policy() && clock_.Now() - view_->FreshAt() < kReadyAge;
+  if (is_ready_.exchange(is_ready) != is_ready) {
+    log_event(log_level::kInfo, is_ready ? "ready" : "not_ready")
+        .Field("is_draining", static_cast<int>(is_draining_))
+        .Field("state_age_ms", std::chrono::duration_cast<milliseconds>(
+                                   clock_.Now() - view_->FreshAt())
+                                   .count());
+  }
+}
+
+void serving_vm::Drain(std::function<void()> on_stopped) {
+  loop_.Post([this, on_stopped = std::move(on_stopped)] {
+    if (is_draining_) {
+      return;
+    }
+    is_draining_ = true;
+    on_stopped_ = on_stopped;
+    drain_started_ = clock_.Now();
+    log_event(log_level::kInfo, "drain_started")
+        .Field("connections", std::uint64_t(connections_.size()))
+        .Field("running", std::uint64_t(context_->flows.size()));
+    UpdateReady();
+    // From now on each answer asks its caller to connect elsewhere.
+    front_->is_closing = true;
+  });
+}
+
+void serving_vm::PollDrain() {
+  const auto elapsed = clock_.Now() - drain_started_;
+  if (elapsed < settings_.drain_delay) {
+    return;
+  }
+  std::vector<std::shared_ptr<front_connection>> all;
+  for (const auto& [key, connection] : connections_) {
+    all.push_back(connection);
+  }
+  for (const auto& connection : all) {
+    connection->CloseIfIdle();
+  }
+  const bool is_over = elapsed >= settings_.drain_deadline;
+  if ((!connections_.empty() || !context_->flows.empty()) && !is_over) {
+    return;
+  }
+  is_draining_ = false;
+  link_->Flush();
+  log_event(log_level::kInfo, "drained")
+      .Field("running", std::uint64_t(context_->flows.size()))
+      .Field("connections", std::uint64_t(connections_.size()));
+  if (on_stopped_) {
+    on_stopped_();
+  }
+}
+
+QJsonObject serving_vm::Dump() const {
+  const auto age = std::chrono::duration_cast<milliseconds>(clock_.Now() - view_->FreshAt());
+  return {{"is_ready", is_ready_.load()},
+          {"policy_version",
+           static_cast<qint64>(view_->Policy() ? view_->Policy()->Version() : 0)},
+          {"state_age_ms", static_cast<qint64>(age.count())},
+          {"connections", static_cast<qint64>(connections_.size())},
+          {"running", static_cast<qint64>(context_->flows.size())},
+          {"idle_upstream_connections", static_cast<qint64>(context_->connections.Size())},
+          {"active_vms", static_cast<qint64>(view_->Limits().active_vms)}};
+}
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/serving/upstream_book.cpp
@@ -0,0 +1,83 @@
+#include "serving/upstream_book.h"
+
+#include <algorithm>
+
+namespace corianderhoist {
+namespace {
+
+using std::chrono::milliseconds;
+
+// The pool includes an own failure after about a round trip to the core VM; until then, and while no
+// core VM answers, the own filter counts as well.
+constexpr milliseconds kOwnEvidence(400);
+constexpr milliseconds kPoolStale(1500);
+// An upstream that was full is likely to be so for about one request's work.
+constexpr milliseconds kShedMemory(300);
+constexpr std::uint32_t kShedAsRunning = 3;  // Requests per slot.
+constexpr milliseconds kColdTime(3500);
+constexpr double kProbabilityUnits = 255;
+constexpr double kPaceUnits = 100;
+
+}  // namespace
+
+nearness vm_place::DistanceTo(const std::string& other_data_centre) const {
+  if (other_data_centre == data_centre) {
+    return nearness::kSameDataCentre;
+  }
+  const auto found = region_of.find(other_data_centre);
+  return found != region_of.end() && found->second == region ? nearness::kSameRegion
+                                                             : nearness::kOtherRegion;
+}
+
+upstream_book::record& upstream_book::RecordOf(upstream_handle upstream) {
+  return records_.try_emplace(upstream, clock_.Now()).first->second;
+}
+
+void upstream_book::End(upstream_handle upstream) {
+  record& entry = RecordOf(upstream);
+  entry.running -= entry.running > 0 ? 1 : 0;
+}
+
+void upstream_book::Observe(upstream_handle upstream, attempt_evidence evidence) {
+  const steady_time now = clock_.Now();
+  record& entry = RecordOf(upstream);
+  entry.health.Observe(evidence, now);
+  if (evidence != attempt_evidence::kGood) {
+    entry.failed_at = now;
+  }
+}
+
+void upstream_book::NoteShed(upstream_handle upstream) {
+  RecordOf(upstream).shed_at = clock_.Now();
+}
+
+placement_candidate upstream_book::CandidateOf(const known_upstream& upstream) {
+  const steady_time now = clock_.Now();
+  const record& own = RecordOf(upstream.entry.handle);
+  double failing = upstream.has_condition ? upstream.condition.failing / kProbabilityUnits
+                                          : health_filter::kFailingShare;
+  const bool is_pool_stale = now - view_.FreshAt() > kPoolStale;
+  if (now - own.failed_at < kOwnEvidence || is_pool_stale) {
+    failing = std::max(failing, own.health.FailingAt(now));
+  }
+  placement_candidate candidate;
+  candidate.failure = health_filter::FailureOf(failing);
+  candidate.pace = upstream.has_condition ? upstream.condition.pace / kPaceUnits : 0;
+  candidate.distance = place_.DistanceTo(upstream.entry.data_centre);
+  candidate.slots = upstream.entry.slots;
+  candidate.running = own.running;
+  if (now - own.shed_at < kShedMemory) {
+    candidate.running += kShedAsRunning * candidate.slots;
+  }
+  candidate.is_silent = upstream.has_condition && upstream.condition.is_silent;
+  candidate.is_cold = upstream.is_newcomer && now - upstream.known_since < kColdTime;
+  return candidate;
+}
+
+void upstream_book::Sweep() {
+  std::erase_if(records_, [this](const auto& item) {
+    return item.second.running == 0 && !view_.IsKnown(item.first);
+  });
+}
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/serving/upstream_book.h
@@ -0,0 +1,59 @@
+/// What this VM alone knows of the upstreams: its own running requests and newest outcomes.
+#pragma once
+
+#include "base/clock.h"
+#include "fleet/health_filter.h"
+#include "serving/fleet_view.h"
+#include "serving/placement.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace corianderhoist {
+
+/// Where this VM is, and where the data centres are.
+struct vm_place {
+  std::string data_centre;
+  std::string region;
+  std::map<std::string, std::string> region_of;  ///< By data centre.
+
+  nearness DistanceTo(const std::string& other_data_centre) const;
+};
+
+/// Combines the pooled conditions with own outcomes that the pool may not have yet. Not thread
+/// safe.
+class upstream_book {
+ public:
+  upstream_book(const fleet_view& view, vm_place place, const clock_source& clock)
+      : view_(view), place_(std::move(place)), clock_(clock) {}
+
+  void Start(upstream_handle upstream) { ++RecordOf(upstream).running; }
+  void End(upstream_handle upstream);
+  void Observe(upstream_handle upstream, attempt_evidence evidence);
+  /// The upstream has refused a request because it is full.
+  void NoteShed(upstream_handle upstream);
+
+  placement_candidate CandidateOf(const known_upstream& upstream);
+  /// Drops records of upstreams that are gone and idle.
+  void Sweep();
+
+ private:
+  struct record {
+    explicit record(steady_time now) : health(now) {}
+
+    health_filter health;
+    std::uint32_t running = 0;
+    steady_time failed_at{};
+    steady_time shed_at{};
+  };
+  record& RecordOf(upstream_handle upstream);
+
+  const fleet_view& view_;
+  const vm_place place_;
+  const clock_source& clock_;
+  std::map<upstream_handle, record> records_;
+};
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/src/serving/upstream_call.cpp
@@ -0,0 +1,359 @@
+#include "serving/upstream_call.h"
+
+#include <QTimer>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+namespace corianderhoist {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kMaxSkippedAnswers = 2;
+constexpr int kMisdirected = 421;
+constexpr int kFirstSuccess = 200;
+constexpr int kFirstNoSuccess = 300;
+// Upstreams close idle connections; without a word from them this is a cautious guess.
+constexpr milliseconds kDefaultIdleLife(4000);
+// An upstream may close its end while a request is on the way, so its own limit is not used up.
+constexpr milliseconds kIdleMargin(1500);
+
+// Reads "timeout=N" of a Keep-Alive field, in seconds.
+std::optional<seconds> KeepAliveTimeout(const header_fields& headers) {
+  const std::string* field = FindHeader(headers, "Keep-Alive");
+  constexpr std::string_view kName = "timeout=";
+  const std::size_t at = field != nullptr ? field->find(kName) : std::string::npos;
+  if (at == std::string::npos) {
+    return std::nullopt;
+  }
+  int value = 0;
+  const char* begin = field->data() + at + kName.size();
+  const auto parsed = std::from_chars(begin, field->data() + field->size(), value);
+  return parsed.ec == std::errc() ? std::optional(seconds(value)) : std::nullopt;
+}
+
+}  // namespace
+
+// ---- connection_cache ----
+
+std::unique_ptr<tcp_stream> connection_cache::Take(upstream_handle upstream,
+                                                   milliseconds longest_idle) {
+  const auto found = idle_.find(upstream);
+  if (found == idle_.end()) {
+    return nullptr;
+  }
+  const steady_time now = clock_.Now();
+  auto& connections = found->second;
+  std::unique_ptr<tcp_stream> taken;
+  while (!connections.empty() && !taken) {
+    idle_connection last = std::move(connections.back());
+    connections.pop_back();
+    if (now < last.until && now - last.since <= longest_idle) {
+      taken = std::move(last.stream);
+    }
+  }
+  if (connections.empty()) {
+    idle_.erase(found);
+  }
+  return taken;
+}
+
+void connection_cache::Put(upstream_handle upstream,
+                           std::unique_ptr<tcp_stream> stream,
+                           milliseconds life) {
+  const steady_time now = clock_.Now();
+  const std::uint64_t id = next_id_++;
+  // Bytes or an end on an idle connection: it is of no use any more.
+  stream->SetEvents({.on_connected = {},
+                     .on_bytes = [this, upstream, id](std::string_view) { Drop(upstream, id); },
+                     .on_end = [this, upstream, id](stream_end) { Drop(upstream, id); },
+                     .on_drained = {}});
+  idle_[upstream].push_back({std::move(stream), now, now + life, id});
+}
+
+void connection_cache::Drop(upstream_handle upstream, std::uint64_t id) {
+  const auto found = idle_.find(upstream);
+  if (found == idle_.end()) {
+    return;
+  }
+  std::erase_if(found->second, [id](const idle_connection& each) { return each.id == id; });
+  if (found->second.empty()) {
+    idle_.erase(found);
+  }
+}
+
+void connection_cache::Sweep(const std::function<bool(upstream_handle)>& is_known) {
+  const steady_time now = clock_.Now();
+  for (auto& [upstream, connections] : idle_) {
+    const bool is_kept = is_known(upstream);
+    std::erase_if(connections, [&](const idle_connection& each) {
+      return !is_kept || now >= each.until;
+    });
+  }
+  std::erase_if(idle_, [](const auto& item) { return item.second.empty(); });
+}
+
+std::size_t connection_cache::Size() const {
+  std::size_t size = 0;
+  for (const auto& [upstream, connections] : idle_) {
+    size += connections.size();
+  }
+  return size;
+}
+
+// ---- upstream_call ----
+
+upstream_call::upstream_call(connection_cache& cache,
+                             const upstream_dialect& dialect,
+                             const clock_source& clock,
+                             call_plan plan,
+                             events handlers)
+    : cache_(cache),
+      dialect_(dialect),
+      clock_(clock),
+      plan_(std::move(plan)),
+      events_(std::move(handlers)) {}
+
+upstream_call::~upstream_call() {
+  has_ended_ = true;
+}
+
+void upstream_call::NewReader() {
+  reader_ = std::make_unique<answer_reader>(plan_.is_head_method, close_ended_answers::kTaken);
+  reader_->on_head = [this](const answer_head& head) { OnHead(head); };
+  reader_->on_body = [this](std::string_view part) {
+    if (!has_ended_ && !is_foreign_ && result_ == call_result::kAnswered && events_.on_body) {
+      events_.on_body(part);
+    }
+  };
+}
+
+void upstream_call::Start() {
+  NewReader();
+  if (plan_.longest_idle.count() > 0) {
+    stream_ = cache_.Take(plan_.upstream, plan_.longest_idle);
+  }
+  if (stream_) {
+    is_reused_ = true;
+    Watch();
+    // Not from inside the caller's call.
+    QTimer::singleShot(0, [weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (self && !self->has_ended_) {
+        self->SendHead();
+      }
+    });
+    return;
+  }
+  stream_ = tcp_stream::Connect(plan_.address, {});
+  Watch();
+  QTimer::singleShot(plan_.connect_timeout, Qt::PreciseTimer, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && !self->has_ended_ && !self->is_sent_) {
+      self->Finish(call_result::kNotConnected, "no connection in time");
+    }
+  });
+}
+
+void upstream_call::Watch() {
+  stream_->SetEvents({.on_connected = [this] { SendHead(); },
+                      .on_bytes = [this](std::string_view bytes) { OnBytes(bytes); },
+                      .on_end = [this](stream_end how) { OnClosed(how); },
+                      .on_drained =
+                          [this] {
+                            if (!has_ended_ && events_.on_drained) {
+                              events_.on_drained();
+                            }
+                          }});
+}
+
+void upstream_call::SendHead() {
+  const auto keep_alive = shared_from_this();
+  std::string text = plan_.request_line + " HTTP/1.1\r\n";
+  for (const header_field& field : plan_.headers) {
+    text += field.name + ": " + field.value + "\r\n";
+  }
+  if (plan_.body_length) {
+    if (plan_.has_body) {
+      text += "Content-Length: " + std::to_string(*plan_.body_length) + "\r\n";
+    }
+  } else {
+    text += "Transfer-Encoding: chunked\r\n";
+  }
+  text += "\r\n";
+  is_sent_ = true;
+  text += std::exchange(early_body_, {});
+  stream_->Write(text);
+  if (events_.on_sent) {
+    events_.on_sent();
+  }
+}
+
+void upstream_call::SendBody(std::string_view part) {
+  if (has_ended_ || part.empty()) {
+    return;
+  }
+  std::string framed;
+  if (!plan_.body_length) {
+    std::array<char, 24> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", part.size());
+    framed = size.data();
+    framed += part;
+    framed += "\r\n";
+  } else {
+    framed = part;
+  }
+  if (is_sent_) {
+    stream_->Write(framed);
+  } else {
+    early_body_ += framed;
+  }
+}
+
+void upstream_call::FinishBody() {
+  if (has_ended_ || std::exchange(is_body_complete_, true) || plan_.body_length) {
+    return;
+  }
+  constexpr std::string_view kLastChunk = "0\r\n\r\n";
+  if (is_sent_) {
+    stream_->Write(kLastChunk);
+  } else {
+    early_body_ += kLastChunk;
+  }
+}
+
+void upstream_call::Pause(bool is_paused) {
+  if (!has_ended_ && stream_) {
+    stream_->PauseReading(is_paused);
+  }
+}
+
+void upstream_call::OnBytes(std::string_view bytes) {
+  const auto keep_alive = shared_from_this();
+  if (!is_sent_) {
+    Finish(call_result::kNotConnected, "bytes before the request");
+    return;
+  }
+  incoming_.append(bytes);
+  while (!has_ended_ && !incoming_.empty()) {
+    has_answer_begun_ = true;
+    const bool is_complete = Recover([&] { return reader_->Read(incoming_); },
+                                     [&](const error& failure) {
+                                       Finish(call_result::kBroken, failure.detail);
+                                       return false;
+                                     });
+    if (!is_complete || has_ended_) {
+      return;
+    }
+    OnAnswerComplete();
+  }
+}
+
+void upstream_call::OnHead(const answer_head& head) {
+  is_keep_alive_ = false;
+  const std::string* id = FindHeader(head.headers, dialect_.attempt_id);
+  is_foreign_ = id != nullptr && !plan_.attempt_id.empty() && *id != plan_.attempt_id;
+  if (is_foreign_) {
+    return;
+  }
+  head_ = head;
+  const bool is_success = head.status >= kFirstSuccess && head.status < kFirstNoSuccess;
+  if (FindHeader(head.headers, dialect_.not_executed) != nullptr) {
+    result_ = call_result::kNotExecuted;
+    result_detail_ = "status " + std::to_string(head.status);
+  } else if (head.status == kMisdirected) {
+    result_ = call_result::kWrongInstance;
+    result_detail_ = "another incarnation has the address";
+  } else if (is_reused_ && id == nullptr && !plan_.attempt_id.empty()) {
+    result_ = call_result::kBroken;
+    result_detail_ = "answer without an id on a reused connection";
+  } else if (is_success && plan_.must_be_signed &&
+             FindHeader(head.headers, dialect_.signature) == nullptr) {
+    result_ = call_result::kBroken;
+    result_detail_ = "success without a signature";
+  } else if (is_success && FindHeader(head.headers, "Content-Encoding") != nullptr) {
+    result_ = call_result::kBroken;
+    result_detail_ = "encoded answer that was not asked for";
+  } else if (events_.on_head) {
+    events_.on_head(head_);
+  }
+}
+
+void upstream_call::OnAnswerComplete() {
+  is_keep_alive_ = reader_->IsKeepAlive();
+  if (is_foreign_) {
+    // A late answer to an earlier request of this connection; the own one follows.
+    if (++skipped_answers_ > kMaxSkippedAnswers || !is_keep_alive_) {
+      Finish(call_result::kBroken, "the answer belongs to another request");
+      return;
+    }
+    NewReader();
+    return;
+  }
+  Finish(result_, result_detail_);
+}
+
+void upstream_call::OnClosed(stream_end how) {
+  if (has_ended_) {
+    return;
+  }
+  const auto keep_alive = shared_from_this();
+  if (!is_sent_) {
+    Finish(call_result::kNotConnected, "connection failed");
+  } else if (how == stream_end::kFinished && !is_foreign_ && reader_->FinishAtClose()) {
+    Finish(result_, result_detail_);
+  } else if (result_ == call_result::kNotExecuted || result_ == call_result::kWrongInstance) {
+    Finish(result_, result_detail_);
+  } else if (has_answer_begun_ && !is_foreign_) {
+    Finish(call_result::kBroken, "the answer ended early");
+  } else {
+    Finish(call_result::kLost, how == stream_end::kFinished ? "connection closed without an answer"
+                                                            : "connection reset");
+  }
+}
+
+void upstream_call::Cancel() {
+  if (!std::exchange(has_ended_, true)) {
+    Release(false);
+  }
+}
+
+void upstream_call::Finish(call_result result, const std::string& detail) {
+  if (std::exchange(has_ended_, true)) {
+    return;
+  }
+  const bool is_whole = result == call_result::kAnswered || result == call_result::kNotExecuted;
+  const bool is_body_sent = is_body_complete_ && stream_ && stream_->Unsent() == 0;
+  Release(is_whole && is_keep_alive_ && is_body_sent && incoming_.empty());
+  if (events_.on_end) {
+    const auto on_end = std::move(events_.on_end);
+    on_end(result, detail);
+  }
+}
+
+milliseconds upstream_call::ReusableFor() const {
+  const auto announced = KeepAliveTimeout(head_.headers);
+  return announced ? std::max(milliseconds(0), milliseconds(*announced) - kIdleMargin)
+                   : kDefaultIdleLife;
+}
+
+void upstream_call::Release(bool is_reusable) {
+  if (!stream_) {
+    return;
+  }
+  if (is_reusable && ReusableFor().count() > 0) {
+    cache_.Put(plan_.upstream, std::move(stream_), ReusableFor());
+    return;
+  }
+  // The stream may be in use further up the stack, so it is destroyed by the event loop.
+  stream_->SetEvents({});
+  QTimer::singleShot(0, [dropped = std::shared_ptr<tcp_stream>(std::move(stream_))] {});
+}
+
+}  // namespace corianderhoist
--- a/src/observe/status_server.cpp
+++ b/src/status/status_server.cpp
@@ -1,4 +1,4 @@
-#include "observe/status_server.h"
+#include "status/status_server.h"
 
 #include "observe/metrics.h"
 
--- a/src/http/upstream_exchange.cpp
+++ b/src/upstream/upstream_exchange.cpp
@@ -1,4 +1,4 @@
-#include "http/upstream_exchange.h"
+#include "upstream/upstream_exchange.h"
 
 #include <QHostAddress>
 #include <QNetworkProxy>
--- a/src/http/upstream_pool.cpp
+++ b/src/upstream/upstream_pool.cpp
@@ -1,4 +1,4 @@
-#include "http/upstream_pool.h"
+#include "upstream/upstream_pool.h"
 
 #include <algorithm>
 #include <chrono>
--- a/src/wire/daemon.cpp
+++ b/src/wire/daemon.cpp
@@ -16,8 +16,8 @@
 // A signal handler may only write to a descriptor; the event loop reads the other end.
 std::array<int, 2> signal_pipe = {-1, -1};
 
-extern "C" void OnSignal(int) {
-  const char byte = 1;
+extern "C" void OnSignal(int number) {
+  const char byte = static_cast<char>(number);
   const ssize_t written = ::write(signal_pipe[1], &byte, 1);
   (void)written;
 }
@@ -72,21 +72,27 @@
   log_event(log_level::kInfo, "listening").Field("purpose", purpose).Field("port", int{port});
 }
 
-signal_watcher::signal_watcher(std::function<void(int count)> on_signal) {
+signal_watcher::signal_watcher(std::function<void(int count)> on_signal,
+                               std::function<void()> on_hangup) {
   assert(signal_pipe[0] < 0 && "one signal watcher per process");
   const int status = ::pipe2(signal_pipe.data(), O_CLOEXEC | O_NONBLOCK);
   assert(status == 0 && "cannot create a pipe");
   (void)status;
   notifier_ = std::make_unique<QSocketNotifier>(signal_pipe[0], QSocketNotifier::Read);
   QObject::connect(notifier_.get(), &QSocketNotifier::activated, notifier_.get(),
-                   [this, on_signal = std::move(on_signal)] {
+                   [this, on_signal = std::move(on_signal), on_hangup = std::move(on_hangup)] {
                      char byte = 0;
                      while (::read(signal_pipe[0], &byte, 1) == 1) {
-                       on_signal(++count_);
+                       if (byte != SIGHUP) {
+                         on_signal(++count_);
+                       } else if (on_hangup) {
+                         on_hangup();
+                       }
                      }
                    });
   std::signal(SIGTERM, OnSignal);
   std::signal(SIGINT, OnSignal);
+  std::signal(SIGHUP, OnSignal);
   std::signal(SIGPIPE, SIG_IGN);
   // A write beyond the limit of file sizes fails like one on a full disk, instead of ending the
   // process.
@@ -96,6 +102,7 @@
 signal_watcher::~signal_watcher() {
   std::signal(SIGTERM, SIG_DFL);
   std::signal(SIGINT, SIG_DFL);
+  std::signal(SIGHUP, SIG_DFL);
   notifier_.reset();
   ::close(signal_pipe[0]);
   ::close(signal_pipe[1]);
--- a/src/wire/daemon.h
+++ b/src/wire/daemon.h
@@ -46,11 +46,14 @@
 /// Logs the event `listening` for one open port.
 void LogListening(std::string_view purpose, std::uint16_t port);
 
-/// Delivers SIGTERM and SIGINT in the event loop of the thread that creates it. One per process.
+/// Delivers SIGTERM, SIGINT and SIGHUP in the event loop of the thread that creates it. One per
+/// process.
 class signal_watcher {
  public:
   /// `on_signal(count)` is called with 1 for the first signal, 2 for the second, and so on.
-  explicit signal_watcher(std::function<void(int count)> on_signal);
+  /// `on_hangup` is called for SIGHUP, which is ignored without it.
+  explicit signal_watcher(std::function<void(int count)> on_signal,
+                          std::function<void()> on_hangup = {});
   ~signal_watcher();
 
  private:
