--- a/src/serving/repeat_budget.h
+++ b/src/serving/repeat_budget.h
@@ -9,29 +9,26 @@
 
 namespace corianderhoist {
 
-/// Tokens per service: each request earns a part of one, and the fixed part of the budget is divided
-/// among the VMs. While the fleet as a whole uses little of the budget, repeats are not limited
-/// here. Not thread safe.
+/// While the fleet uses little of the budget, repeats are not limited here. Once it has used half,
+/// each VM keeps to its own part of the other half, counted over the same window. Not thread safe.
 class repeat_budget {
  public:
   repeat_budget(repeat_bound bound, const clock_source& clock) : bound_(bound), clock_(clock) {}
 
   /// A request for the service, not a repeat.
-  void Earn(const std::string& service);
-  /// Takes a repeat. `is_scarce`: the fleet has used much of the budget. `active_vms` share it.
+  void CountRequest(const std::string& service);
+  /// Takes a repeat. `is_scarce`: the fleet has used half of the budget. `active_vms` share it.
   bool TryTake(const std::string& service, bool is_scarce, std::uint32_t active_vms);
 
  private:
-  struct tokens {
-    double earned = 0;
-    double fixed = 0;
-    steady_time at{};
-    bool is_known = false;
+  struct counts {
+    sliding_count requests;
+    sliding_count repeats;
   };
 
   const repeat_bound bound_;
   const clock_source& clock_;
-  std::map<std::string, tokens> services_;
+  std::map<std::string, counts> services_;
 };
 
 }  // namespace corianderhoist
--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds kConnectTimeout(250);
 constexpr milliseconds kConnectTimeoutFar(400);
 constexpr std::uint32_t kMaxUnconnected = 4;
+// When every upstream sheds, more tries spend the budget that other requests need.
+constexpr std::uint32_t kMaxArrivals = 4;
 // An idle connection may have been dropped by the upstream without notice. A request that must not
 // run twice goes out only on one that was in use a moment ago.
 constexpr milliseconds kReuseIdempotent(8000);
@@ -229,7 +231,7 @@
     Refuse(error_kind::kRequestHeldBack, "requests like this one have ended upstreams");
     return;
   }
-  context_.repeats.Earn(service_);
+  context_.repeats.CountRequest(service_);
   context_.link.NoteService(service_, false);
   if (!TryNext(false)) {
     Refuse(error_kind::kNoUpstream, "no upstream of the service is known");
@@ -536,7 +538,8 @@
 }
 
 bool request_flow::MayRepeat() const {
-  if (TimeLeft() < kShortestAttempt || unconnected_ >= kMaxUnconnected || !is_body_kept_) {
+  if (TimeLeft() < kShortestAttempt || unconnected_ >= kMaxUnconnected ||
+      arrivals_ >= kMaxArrivals || !is_body_kept_) {
     return false;
   }
   return runs_ == 0 || (IsIdempotent() && runs_ < route_->attempts);
