Share the number of running requests per upstream over all VMs

Change: VMs report absolute numbers of running requests, core VMs sum them and hand the sums out; evidence crosses regions by way of the leader only.

--- a/src/fleet/evidence_pool.cpp
+++ b/src/fleet/evidence_pool.cpp
@@ -28,7 +28,7 @@
   const auto pace_step = std::max(
       kShortestPaceStep, static_cast<std::uint32_t>(kPaceStep * static_cast<double>(published.pace)));
   return failing_change >= kFailingStep || pace_change >= pace_step ||
-         published.is_silent != present.is_silent;
+         published.is_silent != present.is_silent || published.running != present.running;
 }
 
 }  // namespace
@@ -57,6 +57,10 @@
   RecordOf(upstream, now).heard_at = now;
 }
 
+void evidence_pool::SetRunning(upstream_handle upstream, std::uint32_t running, steady_time now) {
+  RecordOf(upstream, now).running = running;
+}
+
 void evidence_pool::Retain(const std::set<upstream_handle>& known) {
   std::erase_if(records_, [&](const auto& item) { return !known.contains(item.first); });
 }
@@ -70,6 +74,7 @@
   condition.failing =
       static_cast<std::uint32_t>(std::lround(entry.health.FailingAt(now) * kProbabilityUnits));
   condition.pace = static_cast<std::uint32_t>(std::lround(entry.pace));
+  condition.running = entry.running;
   condition.is_silent = now - std::max(entry.heard_at, entry.last_good_at) > patience &&
                         now - started_ > patience;
   return condition;
--- a/src/fleet/evidence_pool.h
+++ b/src/fleet/evidence_pool.h
@@ -24,6 +24,8 @@
   void Observe(const outcome_note& outcome, steady_time now);
   /// An announcement of the upstream has arrived here or at another core VM.
   void Hear(upstream_handle upstream, steady_time now);
+  /// The number of requests that an upstream is working on, over all VMs.
+  void SetRunning(upstream_handle upstream, std::uint32_t running, steady_time now);
   /// Drops what is known of upstreams that are not listed.
   void Retain(const std::set<upstream_handle>& known);
 
@@ -42,6 +44,7 @@
 
     health_filter health;
     double pace = 0;  ///< Moving mean; 0 before the first good outcome.
+    std::uint32_t running = 0;
     steady_time heard_at;
     steady_time last_good_at;
     upstream_condition published;
--- a/src/fleet/fleet_core.cpp
+++ b/src/fleet/fleet_core.cpp
@@ -155,9 +155,9 @@
   if (evidence_.Refresh(now)) {
     ScheduleAnswers();
   }
-  if (now >= next_share_) {
-    Share();
-  }
+  ExpireLoads();
+  ShareInRegion();
+  ShareAcrossRegions();
   AnswerWatchers();
   loop_.After(kTick, [this] { Tick(); });
 }
@@ -270,7 +270,8 @@
         if (entry.id == notice.id && entry.born_ms == notice.born_ms &&
             entry.state == upstream_state::kReady) {
           evidence_.Hear(entry.handle, now);
-          unshared_heard_[entry.handle] = true;
+          OwnShare(for_region_).heard.push_back(entry.handle);
+          OwnShare(for_others_).heard.push_back(entry.handle);
         }
       }
     }
--- a/src/fleet/fleet_core.h
+++ b/src/fleet/fleet_core.h
@@ -6,6 +6,7 @@
 #include "consensus/replica.h"
 #include "fleet/evidence_pool.h"
 #include "fleet/fleet_state.h"
+#include "fleet/load_table.h"
 #include "fleet/member_keeper.h"
 #include "fleet/messages.h"
 #include "fleet/serving_policy.h"
@@ -28,6 +29,7 @@
 
 struct fleet_core_settings {
   std::string name;              ///< Of this VM in the group; unique, stable over restarts.
+  std::string region;
   endpoint listen;               ///< Where `raft.*` and `fleet.*` are served.
   std::filesystem::path folder;  ///< Data folder.
   /// Core VMs that are asked for the group, by name and address; may be down or gone.
@@ -83,7 +85,9 @@
     steady_time deadline;
     callback<done_reply> done;
   };
-  struct peer_counts {
+  /// What is known of another core VM.
+  struct peer {
+    std::string region;
     std::uint32_t active_vms = 0;
     steady_time at;
   };
@@ -104,13 +108,23 @@
   void OnWatch(watch_request request, rpc_callback<watch_reply> respond);
   bool HasNews(const watcher& waiting) const;
   void AnswerWatchers();
+  void AnswerExpired();
   void ScheduleAnswers();
   watch_reply MakeReply(const watcher& waiting) const;
   void Absorb(const observations& seen);
   void OnReport(report_request request);
+  // Sharing (fleet_core_share.cpp).
   void OnShare(const share_request& request);
-  void Share();
-  void ScheduleShare();
+  void Collect(const observations& seen);
+  core_share& OwnShare(std::map<std::string, core_share>& pending);
+  void FillLoads(core_share& share, std::map<upstream_handle, std::uint32_t>& sent);
+  void ShareInRegion();
+  void ShareAcrossRegions();
+  void ScheduleShare(std::chrono::milliseconds delay);
+  void SendShares(const std::string& member, share_request request);
+  bool IsInRegion(const std::string& member) const;
+  void TakeLoads(const std::string& reporter, const std::vector<load_note>& loads);
+  void ExpireLoads();
   void RefreshLimits();
   void RefreshPolicy();
   void ExpireSilent();
@@ -141,17 +155,22 @@
   std::vector<watcher> watchers_;
   std::vector<upstream_notice> queued_notices_;
   std::vector<callback<done_reply>> queued_callbacks_;
-  observations unshared_;
-  std::map<upstream_handle, bool> unshared_heard_;
+  load_table own_loads_;  ///< Reported by entry VMs to this core VM.
+  load_table all_loads_;  ///< The same, and those of other core VMs.
+  std::map<std::string, core_share> for_region_;  ///< Not yet sent to this region's core VMs.
+  std::map<std::string, core_share> for_others_;  ///< Not yet sent across regions, by origin.
+  std::map<upstream_handle, std::uint32_t> loads_in_region_;  ///< As last sent.
+  std::map<upstream_handle, std::uint32_t> loads_across_;
   std::map<std::string, steady_time> active_vms_;
-  std::map<std::string, peer_counts> peer_counts_;
+  std::map<std::string, peer> peers_;
   shared_limits limits_;
   std::uint64_t limits_revision_ = 1;
   std::uint64_t seen_index_ = 0;
   std::size_t next_seed_ = 0;
   steady_time next_join_{};
   steady_time next_expiry_{};
-  steady_time next_share_{};
+  steady_time next_share_across_{};
+  steady_time next_answer_{};
   bool is_changing_members_ = false;
   bool is_flush_scheduled_ = false;
   bool is_answer_scheduled_ = false;
--- a/src/fleet/fleet_core_pool.cpp
+++ b/src/fleet/fleet_core_pool.cpp
@@ -12,11 +12,9 @@
 using std::chrono::milliseconds;
 
 // News are collected for this long before entry VMs are answered, so that a burst of failures makes
-// one answer.
+// one answer; after an answer it takes longer, because loads change all the time.
 constexpr milliseconds kAnswerDelay(8);
-constexpr milliseconds kShareDelay(12);
-constexpr milliseconds kShareInterval(250);
-constexpr milliseconds kShareTimeout(1000);
+constexpr milliseconds kAnswerInterval(40);
 constexpr milliseconds kLongestHold(1000);
 constexpr milliseconds kVmActive(2500);
 constexpr milliseconds kPeerActive(3000);
@@ -35,14 +33,19 @@
   active_vms_[request.vm] = now;
   const auto hold = std::clamp(request.hold, milliseconds(0), kLongestHold);
   watcher waiting{std::move(request), now, now + hold, std::move(respond)};
-  if (hold.count() == 0 || HasNews(waiting)) {
+  if (hold.count() == 0 || waiting.request.core_life != life_) {
     waiting.respond(MakeReply(waiting));
     return;
   }
+  const bool has_news = HasNews(waiting);
   // A VM has one call at a time; an older one was given up.
   std::erase_if(watchers_, [&](const watcher& other) { return other.request.vm == waiting.request.vm; });
   watchers_.push_back(std::move(waiting));
-  loop_.After(hold, [this] { AnswerWatchers(); });
+  if (has_news) {
+    ScheduleAnswers();
+  } else {
+    loop_.After(hold, [this] { AnswerExpired(); });
+  }
 }
 
 bool fleet_core::HasNews(const watcher& waiting) const {
@@ -81,6 +84,7 @@
 void fleet_core::AnswerWatchers() {
   is_answer_scheduled_ = false;
   const steady_time now = clock_.Now();
+  next_answer_ = now + kAnswerInterval;
   std::vector<watcher> kept;
   for (watcher& waiting : std::exchange(watchers_, {})) {
     if (now >= waiting.until || HasNews(waiting)) {
@@ -92,9 +96,24 @@
   watchers_ = std::move(kept);
 }
 
+void fleet_core::AnswerExpired() {
+  const steady_time now = clock_.Now();
+  std::vector<watcher> kept;
+  for (watcher& waiting : std::exchange(watchers_, {})) {
+    if (now >= waiting.until) {
+      waiting.respond(MakeReply(waiting));
+    } else {
+      kept.push_back(std::move(waiting));
+    }
+  }
+  watchers_ = std::move(kept);
+}
+
 void fleet_core::ScheduleAnswers() {
   if (!std::exchange(is_answer_scheduled_, true)) {
-    loop_.After(kAnswerDelay, [this] { AnswerWatchers(); });
+    const auto until_next =
+        std::chrono::ceil<milliseconds>(next_answer_ - clock_.Now());
+    loop_.After(std::max(kAnswerDelay, until_next), [this] { AnswerWatchers(); });
   }
 }
 
@@ -127,77 +146,9 @@
 
 void fleet_core::OnReport(report_request request) {
   active_vms_[request.vm] = clock_.Now();
+  TakeLoads(request.vm, request.loads);
   Absorb(request.seen);
-  observations& seen = request.seen;
-  const bool is_urgent =
-      !seen.crashes.empty() ||
-      std::any_of(seen.outcomes.begin(), seen.outcomes.end(), [](const outcome_note& outcome) {
-        return outcome.evidence != attempt_evidence::kGood;
-      });
-  const auto append = [](auto& to, auto& from) {
-    to.insert(to.end(), std::make_move_iterator(from.begin()), std::make_move_iterator(from.end()));
-  };
-  const auto merge = [](std::vector<count_note>& to, const std::vector<count_note>& from) {
-    for (const count_note& note : from) {
-      const auto found = std::find_if(to.begin(), to.end(), [&](const count_note& each) {
-        return each.name == note.name;
-      });
-      if (found == to.end()) {
-        to.push_back(note);
-      } else {
-        found->first += note.first;
-        found->second += note.second;
-      }
-    }
-  };
-  append(unshared_.outcomes, seen.outcomes);
-  append(unshared_.crashes, seen.crashes);
-  merge(unshared_.workspaces, seen.workspaces);
-  merge(unshared_.services, seen.services);
-  if (is_urgent) {
-    ScheduleShare();
-  }
-}
-
-void fleet_core::ScheduleShare() {
-  if (!std::exchange(is_share_scheduled_, true)) {
-    loop_.After(kShareDelay, [this] { Share(); });
-  }
-}
-
-void fleet_core::Share() {
-  is_share_scheduled_ = false;
-  const steady_time now = clock_.Now();
-  next_share_ = now + kShareInterval;
-  if (is_stopped_ || (unshared_.IsEmpty() && unshared_heard_.empty())) {
-    return;
-  }
-  share_request request;
-  request.core = settings_.name;
-  request.seen = std::exchange(unshared_, {});
-  for (const auto& [upstream, is_heard] : std::exchange(unshared_heard_, {})) {
-    request.heard.push_back(upstream);
-  }
-  request.active_vms = static_cast<std::uint32_t>(
-      std::count_if(active_vms_.begin(), active_vms_.end(),
-                    [&](const auto& item) { return now - item.second < kVmActive; }));
-  for (const group_member& member : status_.members) {
-    if (rpc_channel* channel = ChannelTo(member.name)) {
-      channel->Call<done_reply>("fleet.share", request, kShareTimeout,
-                                [](const rpc_result<done_reply>&) {
-                                  // Evidence is soft state: what is lost is seen again.
-                                });
-    }
-  }
-}
-
-void fleet_core::OnShare(const share_request& request) {
-  const steady_time now = clock_.Now();
-  peer_counts_[request.core] = {request.active_vms, now};
-  for (const upstream_handle upstream : request.heard) {
-    evidence_.Hear(upstream, now);
-  }
-  Absorb(request.seen);
+  Collect(request.seen);
 }
 
 std::uint32_t fleet_core::CountActiveVms() const {
@@ -205,9 +156,9 @@
   auto count = static_cast<std::uint32_t>(
       std::count_if(active_vms_.begin(), active_vms_.end(),
                     [&](const auto& item) { return now - item.second < kVmActive; }));
-  for (const auto& [name, counts] : peer_counts_) {
-    if (now - counts.at < kPeerActive) {
-      count += counts.active_vms;
+  for (const auto& [name, other] : peers_) {
+    if (now - other.at < kPeerActive) {
+      count += other.active_vms;
     }
   }
   return std::max(count, 1U);
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -62,6 +62,18 @@
   }
 };
 
+/// Requests that an upstream is working on for one VM, or for all VMs of one core VM.
+struct load_note {
+  upstream_handle upstream = 0;
+  std::uint32_t running = 0;  ///< Not a difference: a lost message is made up for by the next one.
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.upstream);
+    visit(2, self.running);
+  }
+};
+
 /// What was seen since the last report.
 struct observations {
   std::vector<outcome_note> outcomes;
@@ -85,11 +97,13 @@
 struct report_request {
   std::string vm;
   observations seen;
+  std::vector<load_note> loads;  ///< Those that have changed.
 
   template <class Self, class Visitor>
   static void ForEachField(Self& self, Visitor&& visit) {
     visit(1, self.vm);
     visit(2, self.seen);
+    visit(3, self.loads);
   }
 };
 
@@ -100,6 +114,7 @@
   std::uint32_t failing = 0;  ///< Probability that it is failing, in 1/255.
   std::uint32_t pace = 0;     ///< Mean of `outcome_note::pace`; 0 when not known.
   bool is_silent = false;     ///< Its announcements have stopped.
+  std::uint32_t running = 0;  ///< Requests that it is working on for all VMs.
 
   bool operator==(const upstream_condition&) const = default;
 
@@ -109,6 +124,7 @@
     visit(2, self.failing);
     visit(3, self.pace);
     visit(4, self.is_silent);
+    visit(5, self.running);
   }
 };
 
@@ -191,19 +207,35 @@
   }
 };
 
-/// What one core VM has pooled since its last call.
-struct share_request {
+/// What the VMs that report to one core VM have seen since the last call.
+struct core_share {
   std::string core;
+  std::string region;  ///< Of the core VM.
   observations seen;
   std::vector<upstream_handle> heard;  ///< Upstreams whose announcements have arrived.
+  std::vector<load_note> loads;        ///< Those that have changed.
   std::uint32_t active_vms = 0;        ///< That report to this core VM.
 
   template <class Self, class Visitor>
   static void ForEachField(Self& self, Visitor&& visit) {
     visit(1, self.core);
-    visit(2, self.seen);
-    visit(3, self.heard);
-    visit(4, self.active_vms);
+    visit(2, self.region);
+    visit(3, self.seen);
+    visit(4, self.heard);
+    visit(5, self.loads);
+    visit(6, self.active_vms);
+  }
+};
+
+/// Core VMs of one region exchange what they see directly and at once. Between regions it goes by
+/// way of the leader, a few times a second, so that the bytes between regions do not grow with the
+/// square of the number of core VMs.
+struct share_request {
+  std::vector<core_share> shares;
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.shares);
   }
 };
 
--- a/src/serving/fleet_link.cpp
+++ b/src/serving/fleet_link.cpp
@@ -21,7 +21,7 @@
 constexpr milliseconds kLongestShun(2000);
 constexpr milliseconds kRetryPause(50);
 constexpr milliseconds kReportTimeout(1000);
-constexpr milliseconds kReportDelay(150);
+constexpr milliseconds kReportDelay(15);
 constexpr milliseconds kUrgentReportDelay(2);
 constexpr milliseconds kMeasureInterval(5000);
 constexpr milliseconds kMeasureTimeout(500);
@@ -110,6 +110,7 @@
         .Field("core", FormatEndpoint(chosen->address))
         .Field("round_trip_us", std::int64_t(chosen->round_trip.count()));
     current_ = chosen;
+    reported_.clear();
   }
   watch_request request = view_.Known();
   request.vm = settings_.vm;
@@ -248,6 +249,20 @@
   ScheduleReport(true);
 }
 
+void fleet_link::NoteLoad(upstream_handle upstream, std::uint32_t running) {
+  if (running == 0) {
+    loads_.erase(upstream);
+  } else {
+    loads_[upstream] = running;
+  }
+  ScheduleReport(false);
+}
+
+std::uint32_t fleet_link::ReportedLoad(upstream_handle upstream) const {
+  const auto found = reported_.find(upstream);
+  return found == reported_.end() ? 0 : found->second;
+}
+
 void fleet_link::ScheduleReport(bool is_urgent) {
   if (is_urgent ? std::exchange(is_urgent_scheduled_, true)
                 : std::exchange(is_report_scheduled_, true)) {
@@ -264,10 +279,23 @@
 void fleet_link::Flush() {
   ++report_generation_;
   is_report_scheduled_ = is_urgent_scheduled_ = false;
-  if (unsent_.IsEmpty() || current_ == nullptr) {
+  report_request request;
+  for (const auto& [upstream, running] : loads_) {
+    if (ReportedLoad(upstream) != running) {
+      request.loads.push_back({upstream, running});
+    }
+  }
+  for (const auto& [upstream, running] : reported_) {
+    if (!loads_.contains(upstream)) {
+      request.loads.push_back({upstream, 0});
+    }
+  }
+  if (current_ == nullptr || (unsent_.IsEmpty() && request.loads.empty())) {
     return;
   }
-  report_request request{settings_.vm, std::exchange(unsent_, {})};
+  request.vm = settings_.vm;
+  request.seen = std::exchange(unsent_, {});
+  reported_ = loads_;
   ChannelOf(*current_).Call<done_reply>("fleet.report", request, kReportTimeout,
                                         [](const rpc_result<done_reply>&) {
                                           // A lost report is not repeated: its news would be old.
--- a/src/serving/fleet_link.h
+++ b/src/serving/fleet_link.h
@@ -39,6 +39,10 @@
   void NoteWorkspace(const std::string& workspace, bool is_admitted);
   void NoteService(const std::string& service, bool is_repeat);
   void NoteCrash(const crash_note& note);
+  /// The number of own requests that an upstream is working on has changed.
+  void NoteLoad(upstream_handle upstream, std::uint32_t running);
+  /// The number that was last sent to a core VM.
+  std::uint32_t ReportedLoad(upstream_handle upstream) const;
   /// Sends what is still held, before the process ends.
   void Flush();
 
@@ -70,6 +74,8 @@
   std::map<endpoint, std::unique_ptr<core>> cores_;
   core* current_ = nullptr;
   observations unsent_;
+  std::map<upstream_handle, std::uint32_t> loads_;     ///< Present ones that are not 0.
+  std::map<upstream_handle, std::uint32_t> reported_;  ///< As the current core VM has them.
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
   steady_time next_measure_{};
   std::uint64_t report_generation_ = 0;
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -13,8 +13,8 @@
 constexpr double kLateLoss = 0.5;
 constexpr double kMostLateLoss = 0.7;
 constexpr double kColdFactor = 2;
-// Requests of this VM stand for those of all: a busy slot here makes a queue more likely there.
-constexpr double kQueueLoss = 0.06;
+// A request beyond the slots waits; one within them still makes a queue more likely.
+constexpr double kBusyLoss = 0.06;
 constexpr double kSilentLoss = 0.05;
 // Candidates within this of the least loss are about equal.
 constexpr double kEqualLoss = 0.02;
@@ -22,14 +22,16 @@
 }  // namespace
 
 double PlacementLoss(const placement_candidate& candidate, const placement_costs& costs) {
+  const double slots = std::max(candidate.slots, 1U);
+  const double waiting = std::max(0.0, candidate.running + 1.0 - slots) / slots;
   const double pace = (candidate.pace > 0 ? candidate.pace : kUsualPace) *
-                      (candidate.is_cold ? kColdFactor : 1);
+                      (candidate.is_cold ? kColdFactor : 1) * (1 + waiting);
   const double late = std::clamp((pace - kSafePace) * kLateLoss, 0.0, kMostLateLoss);
   const double bytes = candidate.distance == nearness::kSameDataCentre ? 0
                        : candidate.distance == nearness::kSameRegion  ? costs.other_data_centre
                                                                       : costs.other_region;
-  const double queue = kQueueLoss * candidate.running / std::max(candidate.slots, 1U);
-  return candidate.failure * costs.failure + late + bytes + queue +
+  const double busy = kBusyLoss * std::min(1.0, candidate.running / slots);
+  return candidate.failure * costs.failure + late + bytes + busy +
          (candidate.is_silent ? kSilentLoss : 0);
 }
 
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -18,7 +18,7 @@
   double pace = 0;       ///< Expected time to the answer, as a share of the objective; 0: unknown.
   nearness distance = nearness::kSameDataCentre;
   std::uint32_t slots = 1;
-  std::uint32_t running = 0;  ///< Requests of this VM that it is working on.
+  std::uint32_t running = 0;  ///< Requests of all VMs that it is working on.
   bool is_silent = false;     ///< Its announcements have stopped.
   bool is_cold = false;       ///< It has just started.
 };
--- a/src/serving/upstream_book.cpp
+++ b/src/serving/upstream_book.cpp
@@ -1,6 +1,7 @@
 #include "serving/upstream_book.h"
 
 #include <algorithm>
+#include <cassert>
 
 namespace corianderhoist {
 namespace {
@@ -33,9 +34,14 @@
   return records_.try_emplace(upstream, clock_.Now()).first->second;
 }
 
+void upstream_book::Start(upstream_handle upstream) {
+  link_.NoteLoad(upstream, ++RecordOf(upstream).running);
+}
+
 void upstream_book::End(upstream_handle upstream) {
   record& entry = RecordOf(upstream);
-  entry.running -= entry.running > 0 ? 1 : 0;
+  assert(entry.running > 0 && "an attempt ends once");
+  link_.NoteLoad(upstream, --entry.running);
 }
 
 void upstream_book::Observe(upstream_handle upstream, attempt_evidence evidence) {
@@ -65,7 +71,11 @@
   candidate.pace = upstream.has_condition ? upstream.condition.pace / kPaceUnits : 0;
   candidate.distance = place_.DistanceTo(upstream.entry.data_centre);
   candidate.slots = upstream.entry.slots;
-  candidate.running = own.running;
+  // The pool has what was reported; own requests since then come on top.
+  const std::uint32_t reported = link_.ReportedLoad(upstream.entry.handle);
+  const std::uint32_t pooled = upstream.has_condition ? upstream.condition.running : 0;
+  candidate.running =
+      std::max(own.running, pooled + (own.running > reported ? own.running - reported : 0));
   if (now - own.shed_at < kShedMemory) {
     candidate.running += kShedAsRunning * candidate.slots;
   }
--- a/src/serving/upstream_book.h
+++ b/src/serving/upstream_book.h
@@ -3,6 +3,7 @@
 
 #include "base/clock.h"
 #include "fleet/health_filter.h"
+#include "serving/fleet_link.h"
 #include "serving/fleet_view.h"
 #include "serving/placement.h"
 
@@ -26,10 +27,13 @@
 /// safe.
 class upstream_book {
  public:
-  upstream_book(const fleet_view& view, vm_place place, const clock_source& clock)
-      : view_(view), place_(std::move(place)), clock_(clock) {}
+  upstream_book(const fleet_view& view,
+                fleet_link& link,
+                vm_place place,
+                const clock_source& clock)
+      : view_(view), link_(link), place_(std::move(place)), clock_(clock) {}
 
-  void Start(upstream_handle upstream) { ++RecordOf(upstream).running; }
+  void Start(upstream_handle upstream);
   void End(upstream_handle upstream);
   void Observe(upstream_handle upstream, attempt_evidence evidence);
   /// The upstream has refused a request because it is full.
@@ -51,6 +55,7 @@
   record& RecordOf(upstream_handle upstream);
 
   const fleet_view& view_;
+  fleet_link& link_;
   const vm_place place_;
   const clock_source& clock_;
   std::map<upstream_handle, record> records_;
