--- a/src/fleet/serving_policy.cpp
+++ b/src/fleet/serving_policy.cpp
@@ -27,15 +27,13 @@
   if (route.parts.empty()) {
     return Invalid("route '" + route.name + "' names no service");
   }
-  std::uint64_t weight = 0;
   for (const route_part& part : route.parts) {
     if (!services.contains(part.service)) {
       return Invalid("route '" + route.name + "' names the unknown service '" + part.service + "'");
     }
-    weight += part.weight;
-  }
-  if (weight == 0) {
-    return Invalid("route '" + route.name + "' has no part with a weight");
+    if (part.weight == 0) {
+      return Invalid("a part of route '" + route.name + "' has no weight");
+    }
   }
   return {};
 }
@@ -69,6 +67,9 @@
     if (!places.emplace(NormalizeHost(route.host), route.path_prefix).second) {
       return Invalid("another route has the host and the prefix of route '" + route.name + "'");
     }
+    if (route.timeout.count() <= 0) {
+      return Invalid("route '" + route.name + "' leaves no time for an answer");
+    }
     BOOST_LEAF_CHECK(CheckParts(route, services));
   }
   return CheckKeys(policy);
--- a/src/fleet/serving_policy.h
+++ b/src/fleet/serving_policy.h
@@ -71,8 +71,8 @@
 };
 
 /// Checks what the parts of a policy say together. Fails with `kInvalidRules` and the first fault:
-/// a route without a known service, two routes with one host and prefix, a prefix that does not
-/// begin with a slash, a key of two workspaces.
+/// a route without a known service, without a timeout or with a part without a weight, two routes
+/// with one host and prefix, a prefix that does not begin with a slash, a key of two workspaces.
 result<void> CheckPolicy(const serving_policy& policy);
 
 /// Turns the text of a document into a policy. Fails with `kInvalidRules`.
