--- a/src/fleet/fleet_core.h
+++ b/src/fleet/fleet_core.h
@@ -38,7 +38,7 @@
   bool may_found = false;
   std::size_t voters = 5;  ///< 2f+1 for the loss of f disks.
   std::chrono::milliseconds announcement_interval{1500};
-  std::chrono::milliseconds rate_window{5000};
+  rate_tolerance rates;
   repeat_bound repeats;
 };
 
@@ -169,6 +169,7 @@
   std::size_t next_seed_ = 0;
   steady_time next_join_{};
   steady_time next_expiry_{};
+  bool is_near_limit_ = false;  ///< A workspace or a budget needs quick counts.
   steady_time next_share_across_{};
   steady_time next_answer_{};
   bool is_changing_members_ = false;
--- a/src/fleet/fleet_core_pool.cpp
+++ b/src/fleet/fleet_core_pool.cpp
@@ -24,7 +24,7 @@
 constexpr milliseconds kExpireAfter(30'000);
 constexpr std::uint32_t kPerMille = 1000;
 // Shares are rounded so that small changes of demand are not sent to every VM.
-constexpr std::uint32_t kShareStep = 50;
+constexpr std::uint32_t kShareStep = 20;
 
 }  // namespace
 
@@ -188,11 +188,13 @@
 void fleet_core::RefreshLimits() {
   const steady_time now = clock_.Now();
   shared_limits present;
+  is_near_limit_ = false;
   if (policy_) {
     for (const policy_workspace& workspace : policy_->Policy().workspaces) {
-      const double share = usage_.AdmittedShare(
-          workspace.name,
-          {workspace.rate_per_second, workspace.burst, settings_.rate_window}, now);
+      const workspace_rate limit{workspace.rate_per_second, workspace.burst};
+      const double share = usage_.AdmittedShare(workspace.name, limit, settings_.rates, now);
+      is_near_limit_ =
+          is_near_limit_ || usage_.IsNearLimit(workspace.name, limit, settings_.rates, now);
       const auto per_mille =
           static_cast<std::uint32_t>(share * kPerMille) / kShareStep * kShareStep;
       if (per_mille < kPerMille) {
--- a/src/fleet/fleet_core_share.cpp
+++ b/src/fleet/fleet_core_share.cpp
@@ -13,6 +13,8 @@
 constexpr milliseconds kUrgentDelay(8);
 constexpr milliseconds kLoadDelay(40);
 constexpr milliseconds kAcrossInterval(500);
+// While a workspace is near its limit: its count must not be half a second old.
+constexpr milliseconds kAcrossIntervalNear(100);
 constexpr milliseconds kShareTimeout(1000);
 constexpr milliseconds kVmActive(2500);
 constexpr milliseconds kVmSilence(3000);
@@ -163,7 +165,7 @@
   if (is_stopped_ || now < next_share_across_) {
     return;
   }
-  next_share_across_ = now + kAcrossInterval;
+  next_share_across_ = now + (is_near_limit_ ? kAcrossIntervalNear : kAcrossInterval);
   FillLoads(OwnShare(for_others_), loads_across_);
   const auto pending = std::exchange(for_others_, {});
   if (replica_->LeadingTerm() == 0) {
--- a/src/fleet/usage_ledger.cpp
+++ b/src/fleet/usage_ledger.cpp
@@ -9,10 +9,12 @@
 
 // How far ahead admission looks: longer than a count takes to reach every VM.
 constexpr milliseconds kHorizon(1000);
-// Counts of the last half second may not have arrived from every VM.
-constexpr double kTargetShare = 0.95;
+// Time until a count of one VM has changed what all others admit, in horizons.
+constexpr double kCountDelay = 0.3;
+constexpr double kToleranceUsed = 0.5;
 // Below this share of the limit nothing is refused.
 constexpr double kFreeShare = 0.9;
+constexpr double kNearShare = 0.6;
 // Repeats are free until this share of the budget is used. The rest covers what all VMs send until
 // they have heard of it.
 constexpr double kFreeRepeats = 0.5;
@@ -62,24 +64,49 @@
   counts.repeats.Add(repeats, now);
 }
 
+namespace {
+
+double LimitOf(const workspace_rate& limit, const rate_tolerance& tolerance) {
+  const double base = static_cast<double>(limit.rate_per_second) *
+                          std::chrono::duration<double>(tolerance.window).count() +
+                      static_cast<double>(limit.burst);
+  return base + kToleranceUsed * (base * tolerance.excess + tolerance.slack);
+}
+
+}  // namespace
+
 double usage_ledger::AdmittedShare(const std::string& workspace,
                                    const workspace_rate& limit,
+                                   const rate_tolerance& tolerance,
                                    steady_time now) const {
   const auto found = workspaces_.find(workspace);
   if (limit.rate_per_second == 0 || found == workspaces_.end()) {
     return 1;
   }
   const workspace_counts& counts = found->second;
-  const double allowed = static_cast<double>(limit.rate_per_second) *
-                             std::chrono::duration<double>(limit.window).count() +
-                         static_cast<double>(limit.burst);
-  const auto spent = static_cast<double>(counts.admitted.Sum(limit.window - kHorizon, now));
-  const auto demand =
-      static_cast<double>(counts.admitted.Sum(kHorizon, now) + counts.refused.Sum(kHorizon, now));
-  if (demand == 0 || spent + demand <= allowed * kFreeShare) {
+  const double allowed = LimitOf(limit, tolerance);
+  const auto spent = static_cast<double>(counts.admitted.Sum(tolerance.window - kHorizon, now));
+  const auto admitted = static_cast<double>(counts.admitted.Sum(kHorizon, now));
+  const auto demand = admitted + static_cast<double>(counts.refused.Sum(kHorizon, now));
+  if (demand == 0 || spent + demand * (1 + kCountDelay) <= allowed * kFreeShare) {
     return 1;
   }
-  return std::clamp((allowed * kTargetShare - spent) / demand, 0.0, 1.0);
+  return std::clamp((allowed - spent - admitted * kCountDelay) / demand, 0.0, 1.0);
+}
+
+bool usage_ledger::IsNearLimit(const std::string& workspace,
+                               const workspace_rate& limit,
+                               const rate_tolerance& tolerance,
+                               steady_time now) const {
+  const auto found = workspaces_.find(workspace);
+  if (limit.rate_per_second == 0 || found == workspaces_.end()) {
+    return false;
+  }
+  const workspace_counts& counts = found->second;
+  const auto spent = static_cast<double>(counts.admitted.Sum(tolerance.window - kHorizon, now));
+  const auto demand =
+      static_cast<double>(counts.admitted.Sum(kHorizon, now) + counts.refused.Sum(kHorizon, now));
+  return spent + demand * (1 + kCountDelay) > LimitOf(limit, tolerance) * kNearShare;
 }
 
 bool usage_ledger::AreRepeatsScarce(const std::string& service,
--- a/src/fleet/usage_ledger.h
+++ b/src/fleet/usage_ledger.h
@@ -31,11 +31,19 @@
   std::array<part, kParts> parts_{};
 };
 
-/// Bounds on the requests of a workspace: in any `window`, at most rate x window + burst.
+/// How exactly a rate is kept. In any `window`, at most (rate x window + burst) x (1 + excess) +
+/// slack requests are admitted over all VMs. The tolerance exists because counts of other VMs are
+/// late; half of it is aimed at, so that few requests within the rate are refused.
+struct rate_tolerance {
+  std::chrono::milliseconds window{5000};
+  double excess = 0;
+  double slack = 0;
+};
+
+/// Rate and burst of a workspace.
 struct workspace_rate {
   std::uint64_t rate_per_second = 0;
   std::uint64_t burst = 0;
-  std::chrono::milliseconds window{5000};
 };
 
 /// Bound on repeats: in any `window`, at most ratio x requests + extra, per service.
@@ -62,7 +70,13 @@
   /// of the last second would reach the limit within the next one.
   double AdmittedShare(const std::string& workspace,
                        const workspace_rate& limit,
+                       const rate_tolerance& tolerance,
                        steady_time now) const;
+  /// Whether the demand of the workspace is so high that counts must be exchanged quickly.
+  bool IsNearLimit(const std::string& workspace,
+                   const workspace_rate& limit,
+                   const rate_tolerance& tolerance,
+                   steady_time now) const;
   /// Whether so much of the budget is used that each VM must keep to its own part of it.
   bool AreRepeatsScarce(const std::string& service,
                         const repeat_bound& bound,
