--- a/src/fleet/fleet_core.h
+++ b/src/fleet/fleet_core.h
@@ -111,7 +111,11 @@
   void AnswerExpired();
   void ScheduleAnswers();
   watch_reply MakeReply(const watcher& waiting) const;
-  void Absorb(const observations& seen);
+  enum class origin { kOwnRegion, kOtherRegion };
+  void Absorb(const observations& seen, origin where);
+  double RegionScale() const;
+  workspace_usage UsageOf(const std::string& workspace) const;
+  service_usage ServiceUsageOf(const std::string& service) const;
   void OnReport(report_request request);
   // Sharing (fleet_core_share.cpp).
   void OnShare(const share_request& request);
@@ -120,6 +124,7 @@
   void FillLoads(core_share& share, std::map<upstream_handle, std::uint32_t>& sent);
   void ShareInRegion();
   void ShareAcrossRegions();
+  void HurryAcross();
   void ScheduleShare(std::chrono::milliseconds delay);
   void SendShares(const std::string& member, share_request request);
   bool IsInRegion(const std::string& member) const;
@@ -150,7 +155,8 @@
   member_keeper keeper_;
   evidence_pool evidence_;
   crash_book crashes_;
-  usage_ledger usage_;
+  usage_ledger usage_;           ///< Of all VMs, as far as it has arrived.
+  usage_ledger regional_usage_;  ///< Of this region's VMs, which arrives at once.
   policy_ptr policy_;
   std::vector<watcher> watchers_;
   std::vector<upstream_notice> queued_notices_;
@@ -172,6 +178,7 @@
   bool is_near_limit_ = false;  ///< A workspace or a budget needs quick counts.
   steady_time next_share_across_{};
   steady_time next_answer_{};
+  steady_time next_limits_{};
   bool is_changing_members_ = false;
   bool is_flush_scheduled_ = false;
   bool is_answer_scheduled_ = false;
--- a/src/fleet/fleet_core_pool.cpp
+++ b/src/fleet/fleet_core_pool.cpp
@@ -15,6 +15,7 @@
 // one answer; after an answer it takes longer, because loads change all the time.
 constexpr milliseconds kAnswerDelay(8);
 constexpr milliseconds kAnswerInterval(40);
+constexpr milliseconds kLimitsInterval(25);
 constexpr milliseconds kLongestHold(1000);
 constexpr milliseconds kVmActive(2500);
 constexpr milliseconds kPeerActive(3000);
@@ -117,7 +118,7 @@
   }
 }
 
-void fleet_core::Absorb(const observations& seen) {
+void fleet_core::Absorb(const observations& seen, origin where) {
   const steady_time now = clock_.Now();
   // Failures last: the order within a report is not known, and the newest outcome weighs most.
   for (const bool is_good_wanted : {true, false}) {
@@ -129,14 +130,22 @@
   }
   for (const count_note& note : seen.workspaces) {
     usage_.CountWorkspace(note.name, note.first, note.second, now);
+    if (where == origin::kOwnRegion) {
+      regional_usage_.CountWorkspace(note.name, note.first, note.second, now);
+    }
   }
   for (const count_note& note : seen.services) {
     usage_.CountService(note.name, note.first, note.second, now);
+    if (where == origin::kOwnRegion) {
+      regional_usage_.CountService(note.name, note.first, note.second, now);
+    }
   }
   for (const crash_note& note : seen.crashes) {
     crashes_.Note(note, now);
   }
-  if (!seen.crashes.empty()) {
+  // A workspace near its limit must be held back before the next tick.
+  const bool has_counts = !seen.workspaces.empty() || !seen.services.empty();
+  if (!seen.crashes.empty() || (has_counts && now >= next_limits_)) {
     RefreshLimits();
   }
   if (evidence_.Refresh(now)) {
@@ -147,7 +156,7 @@
 void fleet_core::OnReport(report_request request) {
   active_vms_[request.vm] = clock_.Now();
   TakeLoads(request.vm, request.loads);
-  Absorb(request.seen);
+  Absorb(request.seen, origin::kOwnRegion);
   Collect(request.seen);
 }
 
@@ -185,16 +194,51 @@
   log_event(log_level::kInfo, "policy_in_force").Field("version", version);
 }
 
+// All VMs by those of the region, at least 1.
+double fleet_core::RegionScale() const {
+  const steady_time now = clock_.Now();
+  double regional = 0;
+  for (const auto& [vm, at] : active_vms_) {
+    regional += now - at < kVmActive ? 1 : 0;
+  }
+  for (const auto& [name, other] : peers_) {
+    regional += other.region == settings_.region && now - other.at < kPeerActive
+                    ? static_cast<double>(other.active_vms)
+                    : 0;
+  }
+  return std::max(1.0, CountActiveVms() / std::max(regional, 1.0));
+}
+
+// Counts of other regions may be late or missing. Callers are spread over the regions, so the
+// region's own counts, scaled to all VMs, bound what is missing.
+workspace_usage fleet_core::UsageOf(const std::string& workspace) const {
+  const steady_time now = clock_.Now();
+  const double scale = RegionScale();
+  const workspace_usage all = usage_.UsageOf(workspace, settings_.rates, now);
+  const workspace_usage own = regional_usage_.UsageOf(workspace, settings_.rates, now);
+  return {std::max(all.spent, own.spent * scale), std::max(all.admitted, own.admitted * scale),
+          std::max(all.refused, own.refused * scale)};
+}
+
+service_usage fleet_core::ServiceUsageOf(const std::string& service) const {
+  const steady_time now = clock_.Now();
+  const double scale = RegionScale();
+  const service_usage all = usage_.UsageOf(service, settings_.repeats, now);
+  const service_usage own = regional_usage_.UsageOf(service, settings_.repeats, now);
+  return {all.requests, std::max(all.repeats, own.repeats * scale)};
+}
+
 void fleet_core::RefreshLimits() {
   const steady_time now = clock_.Now();
+  next_limits_ = now + kLimitsInterval;
   shared_limits present;
   is_near_limit_ = false;
   if (policy_) {
     for (const policy_workspace& workspace : policy_->Policy().workspaces) {
       const workspace_rate limit{workspace.rate_per_second, workspace.burst};
-      const double share = usage_.AdmittedShare(workspace.name, limit, settings_.rates, now);
-      is_near_limit_ =
-          is_near_limit_ || usage_.IsNearLimit(workspace.name, limit, settings_.rates, now);
+      const workspace_usage usage = UsageOf(workspace.name);
+      const double share = AdmittedShare(usage, limit, settings_.rates);
+      is_near_limit_ = is_near_limit_ || IsNearLimit(usage, limit, settings_.rates);
       const auto per_mille =
           static_cast<std::uint32_t>(share * kPerMille) / kShareStep * kShareStep;
       if (per_mille < kPerMille) {
@@ -202,7 +246,7 @@
       }
     }
     for (const policy_service& service : policy_->Policy().services) {
-      if (usage_.AreRepeatsScarce(service.name, settings_.repeats, now)) {
+      if (AreRepeatsScarce(ServiceUsageOf(service.name), settings_.repeats)) {
         present.scarce_services.push_back(service.name);
       }
     }
@@ -220,7 +264,11 @@
       present.blocked_requests != limits_.blocked_requests) {
     log_event event(log_level::kInfo, "limits_changed");
     for (const workspace_share& share : present.workspaces) {
-      event.Field("workspace " + share.workspace, static_cast<int>(share.per_mille));
+      const workspace_usage usage = UsageOf(share.workspace);
+      event.Field("workspace " + share.workspace, static_cast<int>(share.per_mille))
+          .Field("spent", static_cast<int>(usage.spent))
+          .Field("admitted", static_cast<int>(usage.admitted))
+          .Field("refused", static_cast<int>(usage.refused));
     }
     for (const std::string& service : present.scarce_services) {
       event.Field("repeats of " + service, "scarce");
--- a/src/fleet/fleet_core_share.cpp
+++ b/src/fleet/fleet_core_share.cpp
@@ -14,7 +14,7 @@
 constexpr milliseconds kLoadDelay(40);
 constexpr milliseconds kAcrossInterval(500);
 // While a workspace is near its limit: its count must not be half a second old.
-constexpr milliseconds kAcrossIntervalNear(100);
+constexpr milliseconds kAcrossIntervalNear(50);
 constexpr milliseconds kShareTimeout(1000);
 constexpr milliseconds kVmActive(2500);
 constexpr milliseconds kVmSilence(3000);
@@ -83,6 +83,17 @@
   Merge(OwnShare(for_region_).seen, seen);
   Merge(OwnShare(for_others_).seen, seen);
   ScheduleShare(IsUrgent(seen) ? kUrgentDelay : kLoadDelay);
+  HurryAcross();
+}
+
+// Counts of a workspace near its limit do not wait for the next tick.
+void fleet_core::HurryAcross() {
+  const steady_time now = clock_.Now();
+  if (!is_near_limit_ || now + kAcrossIntervalNear >= next_share_across_) {
+    return;
+  }
+  next_share_across_ = now + kAcrossIntervalNear;
+  loop_.After(kAcrossIntervalNear + milliseconds(1), [this] { ShareAcrossRegions(); });
 }
 
 void fleet_core::TakeLoads(const std::string& reporter, const std::vector<load_note>& loads) {
@@ -166,9 +177,13 @@
     return;
   }
   next_share_across_ = now + (is_near_limit_ ? kAcrossIntervalNear : kAcrossInterval);
+  const bool is_leader = replica_->LeadingTerm() != 0;
+  if (!is_leader && ChannelTo(status_.leader) == nullptr) {
+    return;  // Kept until a leader is known.
+  }
   FillLoads(OwnShare(for_others_), loads_across_);
   const auto pending = std::exchange(for_others_, {});
-  if (replica_->LeadingTerm() == 0) {
+  if (!is_leader) {
     const auto own = pending.find(settings_.name);
     if (own != pending.end() && !IsInRegion(status_.leader)) {
       SendShares(status_.leader, {{own->second}});
@@ -202,7 +217,11 @@
     if (replica_->LeadingTerm() != 0) {
       Merge(for_others_[share.core], share);
     }
-    Absorb(share.seen);
+    Absorb(share.seen,
+           share.region == settings_.region ? origin::kOwnRegion : origin::kOtherRegion);
+  }
+  if (replica_->LeadingTerm() != 0) {
+    HurryAcross();
   }
 }
 
--- a/src/fleet/usage_ledger.cpp
+++ b/src/fleet/usage_ledger.cpp
@@ -19,6 +19,13 @@
 // they have heard of it.
 constexpr double kFreeRepeats = 0.5;
 
+double LimitOf(const workspace_rate& limit, const rate_tolerance& tolerance) {
+  const double base = static_cast<double>(limit.rate_per_second) *
+                          std::chrono::duration<double>(tolerance.window).count() +
+                      static_cast<double>(limit.burst);
+  return base + kToleranceUsed * (base * tolerance.excess + tolerance.slack);
+}
+
 std::int64_t PartOf(steady_time now) {
   return now.time_since_epoch() / sliding_count::kPart;
 }
@@ -64,61 +71,52 @@
   counts.repeats.Add(repeats, now);
 }
 
-namespace {
-
-double LimitOf(const workspace_rate& limit, const rate_tolerance& tolerance) {
-  const double base = static_cast<double>(limit.rate_per_second) *
-                          std::chrono::duration<double>(tolerance.window).count() +
-                      static_cast<double>(limit.burst);
-  return base + kToleranceUsed * (base * tolerance.excess + tolerance.slack);
-}
-
-}  // namespace
-
-double usage_ledger::AdmittedShare(const std::string& workspace,
-                                   const workspace_rate& limit,
-                                   const rate_tolerance& tolerance,
-                                   steady_time now) const {
-  const auto found = workspaces_.find(workspace);
-  if (limit.rate_per_second == 0 || found == workspaces_.end()) {
-    return 1;
-  }
-  const workspace_counts& counts = found->second;
-  const double allowed = LimitOf(limit, tolerance);
-  const auto spent = static_cast<double>(counts.admitted.Sum(tolerance.window - kHorizon, now));
-  const auto admitted = static_cast<double>(counts.admitted.Sum(kHorizon, now));
-  const auto demand = admitted + static_cast<double>(counts.refused.Sum(kHorizon, now));
-  if (demand == 0 || spent + demand * (1 + kCountDelay) <= allowed * kFreeShare) {
-    return 1;
-  }
-  return std::clamp((allowed - spent - admitted * kCountDelay) / demand, 0.0, 1.0);
-}
-
-bool usage_ledger::IsNearLimit(const std::string& workspace,
-                               const workspace_rate& limit,
-                               const rate_tolerance& tolerance,
-                               steady_time now) const {
+workspace_usage usage_ledger::UsageOf(const std::string& workspace,
+                                      const rate_tolerance& tolerance,
+                                      steady_time now) const {
   const auto found = workspaces_.find(workspace);
-  if (limit.rate_per_second == 0 || found == workspaces_.end()) {
-    return false;
+  if (found == workspaces_.end()) {
+    return {};
   }
   const workspace_counts& counts = found->second;
-  const auto spent = static_cast<double>(counts.admitted.Sum(tolerance.window - kHorizon, now));
-  const auto demand =
-      static_cast<double>(counts.admitted.Sum(kHorizon, now) + counts.refused.Sum(kHorizon, now));
-  return spent + demand * (1 + kCountDelay) > LimitOf(limit, tolerance) * kNearShare;
+  return {static_cast<double>(counts.admitted.Sum(tolerance.window - kHorizon, now)),
+          static_cast<double>(counts.admitted.Sum(kHorizon, now)),
+          static_cast<double>(counts.refused.Sum(kHorizon, now))};
 }
 
-bool usage_ledger::AreRepeatsScarce(const std::string& service,
+service_usage usage_ledger::UsageOf(const std::string& service,
                                     const repeat_bound& bound,
                                     steady_time now) const {
   const auto found = services_.find(service);
   if (found == services_.end()) {
-    return false;
+    return {};
   }
-  const auto requests = static_cast<double>(found->second.requests.Sum(bound.window, now));
-  const auto repeats = static_cast<double>(found->second.repeats.Sum(bound.window, now));
-  return repeats > kFreeRepeats * (bound.ratio * requests + bound.extra);
+  return {static_cast<double>(found->second.requests.Sum(bound.window, now)),
+          static_cast<double>(found->second.repeats.Sum(bound.window, now))};
+}
+
+double AdmittedShare(const workspace_usage& usage,
+                     const workspace_rate& limit,
+                     const rate_tolerance& tolerance) {
+  const double demand = usage.admitted + usage.refused;
+  const double allowed = LimitOf(limit, tolerance);
+  if (limit.rate_per_second == 0 || demand == 0 ||
+      usage.spent + demand * (1 + kCountDelay) <= allowed * kFreeShare) {
+    return 1;
+  }
+  return std::clamp((allowed - usage.spent - usage.admitted * kCountDelay) / demand, 0.0, 1.0);
+}
+
+bool IsNearLimit(const workspace_usage& usage,
+                 const workspace_rate& limit,
+                 const rate_tolerance& tolerance) {
+  const double demand = usage.admitted + usage.refused;
+  return limit.rate_per_second != 0 &&
+         usage.spent + demand * (1 + kCountDelay) > LimitOf(limit, tolerance) * kNearShare;
+}
+
+bool AreRepeatsScarce(const service_usage& usage, const repeat_bound& bound) {
+  return usage.repeats > kFreeRepeats * (bound.ratio * usage.requests + bound.extra);
 }
 
 }  // namespace corianderhoist
--- a/src/fleet/usage_ledger.h
+++ b/src/fleet/usage_ledger.h
@@ -46,6 +46,13 @@
   std::uint64_t burst = 0;
 };
 
+/// What the decision about a workspace rests on.
+struct workspace_usage {
+  double spent = 0;     ///< Admitted in the window, less its oldest second.
+  double admitted = 0;  ///< In the last second.
+  double refused = 0;   ///< In the last second.
+};
+
 /// Bound on repeats: in any `window`, at most ratio x requests + extra, per service.
 struct repeat_bound {
   double ratio = 0.2;
@@ -53,8 +60,29 @@
   double extra = 0;
 };
 
-/// Answers the load of one workspace that sends several times its rate, and that of failing
-/// upstreams that would make every VM repeat at once. Not thread safe.
+/// Requests and repeats of a service within the window.
+struct service_usage {
+  double requests = 0;
+  double repeats = 0;
+};
+
+/// Share of a workspace's requests that the VMs may admit now, 0 to 1. It is 1 until the demand of
+/// the last second would reach the limit within the next one. Answers the load of one workspace
+/// that sends several times its rate.
+double AdmittedShare(const workspace_usage& usage,
+                     const workspace_rate& limit,
+                     const rate_tolerance& tolerance);
+
+/// Whether the demand is so high that counts must be exchanged quickly.
+bool IsNearLimit(const workspace_usage& usage,
+                 const workspace_rate& limit,
+                 const rate_tolerance& tolerance);
+
+/// Whether so much of the budget is used that each VM must keep to its own part of it. Answers the
+/// load of failing upstreams that would make every VM repeat at once.
+bool AreRepeatsScarce(const service_usage& usage, const repeat_bound& bound);
+
+/// Counts by workspace and by service. Not thread safe.
 class usage_ledger {
  public:
   void CountWorkspace(const std::string& workspace,
@@ -66,19 +94,10 @@
                     std::uint64_t repeats,
                     steady_time now);
 
-  /// Share of the workspace's requests that the VMs may admit now, 0 to 1. It is 1 until the demand
-  /// of the last second would reach the limit within the next one.
-  double AdmittedShare(const std::string& workspace,
-                       const workspace_rate& limit,
-                       const rate_tolerance& tolerance,
-                       steady_time now) const;
-  /// Whether the demand of the workspace is so high that counts must be exchanged quickly.
-  bool IsNearLimit(const std::string& workspace,
-                   const workspace_rate& limit,
-                   const rate_tolerance& tolerance,
-                   steady_time now) const;
-  /// Whether so much of the budget is used that each VM must keep to its own part of it.
-  bool AreRepeatsScarce(const std::string& service,
+  workspace_usage UsageOf(const std::string& workspace,
+                          const rate_tolerance& tolerance,
+                          steady_time now) const;
+  service_usage UsageOf(const std::string& service,
                         const repeat_bound& bound,
                         steady_time now) const;
 
