--- a/src/fleet/fleet_core.h
+++ b/src/fleet/fleet_core.h
@@ -113,6 +113,10 @@
   watch_reply MakeReply(const watcher& waiting) const;
   enum class origin { kOwnRegion, kOtherRegion };
   void Absorb(const observations& seen, origin where);
+  void AbsorbCounts(const std::vector<count_note>& workspaces,
+                    const std::vector<count_note>& services,
+                    origin where,
+                    steady_time at);
   double RegionScale() const;
   workspace_usage UsageOf(const std::string& workspace) const;
   service_usage ServiceUsageOf(const std::string& service) const;
@@ -127,6 +131,7 @@
   void HurryAcross();
   void ScheduleShare(std::chrono::milliseconds delay);
   void SendShares(const std::string& member, share_request request);
+  void KeepCounts(const share_request& request, steady_time sent_at);
   bool IsInRegion(const std::string& member) const;
   void TakeLoads(const std::string& reporter, const std::vector<load_note>& loads);
   void ExpireLoads();
--- a/src/fleet/fleet_core_pool.cpp
+++ b/src/fleet/fleet_core_pool.cpp
@@ -118,6 +118,24 @@
   }
 }
 
+void fleet_core::AbsorbCounts(const std::vector<count_note>& workspaces,
+                              const std::vector<count_note>& services,
+                              origin where,
+                              steady_time at) {
+  const auto count = [&](usage_ledger& ledger) {
+    for (const count_note& note : workspaces) {
+      ledger.CountWorkspace(note.name, note.first, note.second, at);
+    }
+    for (const count_note& note : services) {
+      ledger.CountService(note.name, note.first, note.second, at);
+    }
+  };
+  count(usage_);
+  if (where == origin::kOwnRegion) {
+    count(regional_usage_);
+  }
+}
+
 void fleet_core::Absorb(const observations& seen, origin where) {
   const steady_time now = clock_.Now();
   // Failures last: the order within a report is not known, and the newest outcome weighs most.
@@ -128,17 +146,9 @@
       }
     }
   }
-  for (const count_note& note : seen.workspaces) {
-    usage_.CountWorkspace(note.name, note.first, note.second, now);
-    if (where == origin::kOwnRegion) {
-      regional_usage_.CountWorkspace(note.name, note.first, note.second, now);
-    }
-  }
-  for (const count_note& note : seen.services) {
-    usage_.CountService(note.name, note.first, note.second, now);
-    if (where == origin::kOwnRegion) {
-      regional_usage_.CountService(note.name, note.first, note.second, now);
-    }
+  AbsorbCounts(seen.workspaces, seen.services, where, now);
+  for (const late_counts& late : seen.late) {
+    AbsorbCounts(late.workspaces, late.services, where, now - late.age);
   }
   for (const crash_note& note : seen.crashes) {
     crashes_.Note(note, now);
--- a/src/fleet/fleet_core_share.cpp
+++ b/src/fleet/fleet_core_share.cpp
@@ -15,7 +15,9 @@
 constexpr milliseconds kAcrossInterval(500);
 // While a workspace is near its limit: its count must not be half a second old.
 constexpr milliseconds kAcrossIntervalNear(50);
-constexpr milliseconds kShareTimeout(1000);
+constexpr milliseconds kShareTimeout(500);
+// Older counts have left the window of a rate.
+constexpr milliseconds kLateLife(5000);
 constexpr milliseconds kVmActive(2500);
 constexpr milliseconds kVmSilence(3000);
 
@@ -24,25 +26,12 @@
   to.insert(to.end(), from.begin(), from.end());
 }
 
-void Merge(std::vector<count_note>& to, const std::vector<count_note>& from) {
-  for (const count_note& note : from) {
-    const auto found = std::find_if(to.begin(), to.end(), [&](const count_note& each) {
-      return each.name == note.name;
-    });
-    if (found == to.end()) {
-      to.push_back(note);
-    } else {
-      found->first += note.first;
-      found->second += note.second;
-    }
-  }
-}
-
 void Merge(observations& to, const observations& from) {
   Append(to.outcomes, from.outcomes);
   Append(to.crashes, from.crashes);
-  Merge(to.workspaces, from.workspaces);
-  Merge(to.services, from.services);
+  Append(to.late, from.late);
+  MergeCounts(to.workspaces, from.workspaces);
+  MergeCounts(to.services, from.services);
 }
 
 void Merge(core_share& to, const core_share& from) {
@@ -141,12 +130,33 @@
 void fleet_core::SendShares(const std::string& member, share_request request) {
   if (rpc_channel* channel = ChannelTo(member)) {
     channel->Call<done_reply>("fleet.share", request, kShareTimeout,
-                              [](const rpc_result<done_reply>&) {
-                                // Evidence is soft state: what is lost is seen again.
+                              [this, request, sent_at = clock_.Now()](const rpc_result<done_reply>& reply) {
+                                if (std::holds_alternative<rpc_failure>(reply)) {
+                                  KeepCounts(request, sent_at);
+                                }
                               });
   }
 }
 
+// Outcomes that did not arrive are too old to be sent again, but counts must not get lost: what is
+// admitted is bounded by them. Those that did arrive are counted twice, which is on the safe side.
+void fleet_core::KeepCounts(const share_request& request, steady_time sent_at) {
+  const auto passed = std::chrono::duration_cast<milliseconds>(clock_.Now() - sent_at);
+  for (const core_share& share : request.shares) {
+    core_share& kept = for_others_[share.core];
+    kept.core = share.core;
+    kept.region = share.region;
+    if (!share.seen.workspaces.empty() || !share.seen.services.empty()) {
+      kept.seen.late.push_back({passed, share.seen.workspaces, share.seen.services});
+    }
+    for (const late_counts& late : share.seen.late) {
+      if (late.age + passed < kLateLife) {
+        kept.seen.late.push_back({late.age + passed, late.workspaces, late.services});
+      }
+    }
+  }
+}
+
 void fleet_core::ShareInRegion() {
   is_share_scheduled_ = false;
   core_share own = std::exchange(OwnShare(for_region_), {});
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -11,6 +11,7 @@
 #include "fleet/member_keeper.h"
 #include "wire/codec.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <string>
@@ -74,15 +75,31 @@
   }
 };
 
+/// Counts whose first message did not arrive.
+struct late_counts {
+  std::chrono::milliseconds age{};  ///< Time since they were counted.
+  std::vector<count_note> workspaces;
+  std::vector<count_note> services;
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.age);
+    visit(2, self.workspaces);
+    visit(3, self.services);
+  }
+};
+
 /// What was seen since the last report.
 struct observations {
   std::vector<outcome_note> outcomes;
   std::vector<count_note> workspaces;
   std::vector<count_note> services;
   std::vector<crash_note> crashes;
+  std::vector<late_counts> late;
 
   bool IsEmpty() const {
-    return outcomes.empty() && workspaces.empty() && services.empty() && crashes.empty();
+    return outcomes.empty() && workspaces.empty() && services.empty() && crashes.empty() &&
+           late.empty();
   }
 
   template <class Self, class Visitor>
@@ -91,9 +108,25 @@
     visit(2, self.workspaces);
     visit(3, self.services);
     visit(4, self.crashes);
+    visit(5, self.late);
   }
 };
 
+/// Adds counts under the same names.
+inline void MergeCounts(std::vector<count_note>& to, const std::vector<count_note>& from) {
+  for (const count_note& note : from) {
+    const auto found = std::find_if(to.begin(), to.end(), [&](const count_note& each) {
+      return each.name == note.name;
+    });
+    if (found == to.end()) {
+      to.push_back(note);
+    } else {
+      found->first += note.first;
+      found->second += note.second;
+    }
+  }
+}
+
 struct report_request {
   std::string vm;
   observations seen;
--- a/src/fleet/usage_ledger.cpp
+++ b/src/fleet/usage_ledger.cpp
@@ -35,6 +35,9 @@
 void sliding_count::Add(std::uint64_t amount, steady_time now) {
   const std::int64_t number = PartOf(now);
   part& current = parts_[static_cast<std::size_t>(number) % kParts];
+  if (current.number > number) {
+    return;  // Older than everything that is kept.
+  }
   if (current.number != number) {
     current = {number, 0};
   }
--- a/src/serving/fleet_link.cpp
+++ b/src/serving/fleet_link.cpp
@@ -15,12 +15,16 @@
 // A core VM that does not answer for this long beyond the hold is given up.
 constexpr milliseconds kPatience(450);
 constexpr milliseconds kFirstPatience(700);
-// A core VM whose own state is older follows no leader.
-constexpr milliseconds kMaxCoreAge(1100);
+// A core VM whose own state is older may have lost its leader.
+constexpr milliseconds kMaxCoreAge(900);
+constexpr milliseconds kSeekInterval(400);
+constexpr milliseconds kFresher(400);
 constexpr milliseconds kShortestShun(250);
 constexpr milliseconds kLongestShun(2000);
 constexpr milliseconds kRetryPause(50);
-constexpr milliseconds kReportTimeout(1000);
+constexpr milliseconds kReportTimeout(400);
+// Older counts have left the window of a rate.
+constexpr milliseconds kLateLife(5000);
 constexpr milliseconds kReportDelay(15);
 constexpr milliseconds kUrgentReportDelay(2);
 constexpr milliseconds kMeasureInterval(5000);
@@ -97,7 +101,7 @@
 
 void fleet_link::Watch() {
   core* chosen = Choose();
-  if (chosen == nullptr) {
+  if (chosen == nullptr || (chosen->shunned_until > clock_.Now() && chosen->failures > 1)) {
     loop_.After(kRetryPause, [this, alive = is_alive_] {
       if (*alive) {
         Watch();
@@ -134,11 +138,7 @@
   }
   const steady_time now = clock_.Now();
   const auto& news = std::get<watch_reply>(reply);
-  const auto round_trip = std::chrono::duration_cast<std::chrono::microseconds>(
-      now - sent_at - news.held);
-  const auto measured = std::max(round_trip, std::chrono::microseconds(1));
-  which.round_trip =
-      which.round_trip.count() == 0 ? measured : std::min(which.round_trip, measured);
+  Measure(which, news, sent_at);
   for (const std::string& address : news.cores) {
     Recover(
         [&]() -> result<void> {
@@ -152,7 +152,7 @@
   }
   view_.Apply(news, sent_at, now);
   if (news.age > kMaxCoreAge) {
-    Shun(which, "its state is " + std::to_string(news.age.count()) + " ms old");
+    SeekFresher(which, news.age);
   } else {
     if (std::exchange(which.failures, 0) > 0) {
       log_event(log_level::kInfo, "core_regained").Field("core", FormatEndpoint(which.address));
@@ -166,6 +166,46 @@
   Watch();
 }
 
+// While the group elects a leader, the state of every core VM grows old, and going to another one
+// helps nobody. The others are asked; a clearly fresher one is followed from then on.
+void fleet_link::SeekFresher(core& stale, milliseconds age) {
+  const steady_time now = clock_.Now();
+  if (now < next_seek_) {
+    return;
+  }
+  next_seek_ = now + kSeekInterval;
+  for (const auto& [address, each] : cores_) {
+    core* other = each.get();
+    if (other == &stale) {
+      continue;
+    }
+    watch_request request = view_.Known();
+    request.vm = settings_.vm;
+    const steady_time sent_at = clock_.Now();
+    ChannelOf(*other).Call<watch_reply>(
+        "fleet.watch", request, kMeasureTimeout,
+        [this, alive = is_alive_, other, &stale, age,
+         sent_at](const rpc_result<watch_reply>& reply) {
+          const auto* news = std::get_if<watch_reply>(&reply);
+          if (*alive && news != nullptr) {
+            Measure(*other, *news, sent_at);
+            if (news->age + kFresher < age && current_ == &stale) {
+              view_.Apply(*news, sent_at, clock_.Now());
+              Shun(stale, "its state is " + std::to_string(age.count()) + " ms old");
+            }
+          }
+        });
+  }
+}
+
+void fleet_link::Measure(core& which, const watch_reply& reply, steady_time sent_at) {
+  const auto round_trip = std::chrono::duration_cast<std::chrono::microseconds>(
+      clock_.Now() - sent_at - reply.held);
+  const auto measured = std::max(round_trip, std::chrono::microseconds(1));
+  which.round_trip =
+      which.round_trip.count() == 0 ? measured : std::min(which.round_trip, measured);
+}
+
 void fleet_link::Shun(core& which, const std::string& cause) {
   const milliseconds pause =
       std::min(kShortestShun * (1 << std::min(which.failures, 3)), kLongestShun);
@@ -207,9 +247,7 @@
             return;
           }
           if (const auto* news = std::get_if<watch_reply>(&reply)) {
-            const auto round_trip = std::chrono::duration_cast<std::chrono::microseconds>(
-                clock_.Now() - sent_at - news->held);
-            other->round_trip = std::max(round_trip, std::chrono::microseconds(1));
+            Measure(*other, *news, sent_at);
           } else {
             Shun(*other, std::get<rpc_failure>(reply).detail);
           }
@@ -276,6 +314,19 @@
               });
 }
 
+// Outcomes that did not arrive are too old to be sent again, but counts must not get lost.
+void fleet_link::KeepCounts(const observations& seen, steady_time sent_at) {
+  if (!seen.workspaces.empty() || !seen.services.empty()) {
+    kept_.push_back({sent_at, seen.workspaces, seen.services});
+  }
+  for (const late_counts& late : seen.late) {
+    kept_.push_back({sent_at - late.age, late.workspaces, late.services});
+  }
+  if (!kept_.empty()) {
+    ScheduleReport(false);
+  }
+}
+
 void fleet_link::Flush() {
   ++report_generation_;
   is_report_scheduled_ = is_urgent_scheduled_ = false;
@@ -290,16 +341,27 @@
       request.loads.push_back({upstream, 0});
     }
   }
-  if (current_ == nullptr || (unsent_.IsEmpty() && request.loads.empty())) {
+  if (current_ == nullptr || (unsent_.IsEmpty() && request.loads.empty() && kept_.empty())) {
     return;
   }
   request.vm = settings_.vm;
   request.seen = std::exchange(unsent_, {});
+  const steady_time now = clock_.Now();
+  for (const kept_counts& kept : std::exchange(kept_, {})) {
+    const auto age = std::chrono::duration_cast<milliseconds>(now - kept.at);
+    if (age < kLateLife) {
+      request.seen.late.push_back({age, kept.workspaces, kept.services});
+    }
+  }
   reported_ = loads_;
-  ChannelOf(*current_).Call<done_reply>("fleet.report", request, kReportTimeout,
-                                        [](const rpc_result<done_reply>&) {
-                                          // A lost report is not repeated: its news would be old.
-                                        });
+  ChannelOf(*current_).Call<done_reply>(
+      "fleet.report", request, kReportTimeout,
+      [this, alive = is_alive_, seen = request.seen,
+       sent_at = clock_.Now()](const rpc_result<done_reply>& reply) {
+        if (*alive && std::holds_alternative<rpc_failure>(reply)) {
+          KeepCounts(seen, sent_at);
+        }
+      });
 }
 
 }  // namespace corianderhoist
--- a/src/serving/fleet_link.h
+++ b/src/serving/fleet_link.h
@@ -58,6 +58,12 @@
     int failures = 0;
   };
 
+  struct kept_counts {
+    steady_time at;
+    std::vector<count_note> workspaces;
+    std::vector<count_note> services;
+  };
+
   core& AddCore(const endpoint& address);
   rpc_channel& ChannelOf(core& which);
   core* Choose();
@@ -65,7 +71,10 @@
   void OnReply(core& which, const rpc_result<watch_reply>& reply, steady_time sent_at);
   void Shun(core& which, const std::string& cause);
   void MeasureOthers();
+  void SeekFresher(core& stale, std::chrono::milliseconds age);
+  void Measure(core& which, const watch_reply& reply, steady_time sent_at);
   void ScheduleReport(bool is_urgent);
+  void KeepCounts(const observations& seen, steady_time sent_at);
 
   io_loop& loop_;
   fleet_link_settings settings_;
@@ -74,10 +83,12 @@
   std::map<endpoint, std::unique_ptr<core>> cores_;
   core* current_ = nullptr;
   observations unsent_;
+  std::vector<kept_counts> kept_;  ///< Their first message did not arrive.
   std::map<upstream_handle, std::uint32_t> loads_;     ///< Present ones that are not 0.
   std::map<upstream_handle, std::uint32_t> reported_;  ///< As the current core VM has them.
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
   steady_time next_measure_{};
+  steady_time next_seek_{};
   std::uint64_t report_generation_ = 0;
   bool is_report_scheduled_ = false;
   bool is_urgent_scheduled_ = false;
