--- a/src/fleet/fleet_core.h
+++ b/src/fleet/fleet_core.h
@@ -130,7 +130,8 @@
   void ShareAcrossRegions();
   void HurryAcross();
   void ScheduleShare(std::chrono::milliseconds delay);
-  void SendShares(const std::string& member, share_request request);
+  enum class if_lost { kDrop, kKeepCounts };
+  void SendShares(const std::string& member, share_request request, if_lost what);
   void KeepCounts(const share_request& request, steady_time sent_at);
   bool IsInRegion(const std::string& member) const;
   void TakeLoads(const std::string& reporter, const std::vector<load_note>& loads);
--- a/src/fleet/fleet_core_share.cpp
+++ b/src/fleet/fleet_core_share.cpp
@@ -127,19 +127,23 @@
   }
 }
 
-void fleet_core::SendShares(const std::string& member, share_request request) {
-  if (rpc_channel* channel = ChannelTo(member)) {
-    channel->Call<done_reply>("fleet.share", request, kShareTimeout,
-                              [this, request, sent_at = clock_.Now()](const rpc_result<done_reply>& reply) {
-                                if (std::holds_alternative<rpc_failure>(reply)) {
-                                  KeepCounts(request, sent_at);
-                                }
-                              });
+void fleet_core::SendShares(const std::string& member, share_request request, if_lost what) {
+  rpc_channel* channel = ChannelTo(member);
+  if (channel == nullptr) {
+    return;
   }
+  channel->Call<done_reply>(
+      "fleet.share", request, kShareTimeout,
+      [this, what, request, sent_at = clock_.Now()](const rpc_result<done_reply>& reply) {
+        if (what == if_lost::kKeepCounts && std::holds_alternative<rpc_failure>(reply)) {
+          KeepCounts(request, sent_at);
+        }
+      });
 }
 
 // Outcomes that did not arrive are too old to be sent again, but counts must not get lost: what is
-// admitted is bounded by them. Those that did arrive are counted twice, which is on the safe side.
+// admitted is bounded by them. Only for the one way to the leader: what the leader hands out to many
+// would reach those twice that did get it.
 void fleet_core::KeepCounts(const share_request& request, steady_time sent_at) {
   const auto passed = std::chrono::duration_cast<milliseconds>(clock_.Now() - sent_at);
   for (const core_share& share : request.shares) {
@@ -175,7 +179,7 @@
   }
   for (const group_member& member : status_.members) {
     if (IsInRegion(member.name)) {
-      SendShares(member.name, {{own}});
+      SendShares(member.name, {{own}}, if_lost::kDrop);
     }
   }
 }
@@ -196,7 +200,7 @@
   if (!is_leader) {
     const auto own = pending.find(settings_.name);
     if (own != pending.end() && !IsInRegion(status_.leader)) {
-      SendShares(status_.leader, {{own->second}});
+      SendShares(status_.leader, {{own->second}}, if_lost::kKeepCounts);
     }
     return;
   }
@@ -209,7 +213,7 @@
       }
     }
     if (!request.shares.empty()) {
-      SendShares(member.name, std::move(request));
+      SendShares(member.name, std::move(request), if_lost::kDrop);
     }
   }
 }
