Plan trials of idle upstreams in the core VMs

Change: a core marks upstreams for a trial: long idle ones for requests that can be repeated, and, while a service is struggling, the best of the idle ones until three quarters are in use.

--- a/src/fleet/evidence_pool.cpp
+++ b/src/fleet/evidence_pool.cpp
@@ -16,6 +16,9 @@
 constexpr std::uint32_t kShortestPaceStep = 5;
 // Announcements may be late by seconds.
 constexpr int kSilentIntervals = 3;
+// A struggling service must not leave sound upstreams unused for two seconds.
+constexpr milliseconds kIdle(1500);
+constexpr milliseconds kLongIdle(3000);
 constexpr milliseconds kCrashMemory(60'000);
 constexpr std::size_t kMaxSuspects = 1000;
 
@@ -28,7 +31,8 @@
   const auto pace_step = std::max(
       kShortestPaceStep, static_cast<std::uint32_t>(kPaceStep * static_cast<double>(published.pace)));
   return failing_change >= kFailingStep || pace_change >= pace_step ||
-         published.is_silent != present.is_silent || published.running != present.running;
+         published.is_silent != present.is_silent || published.running != present.running ||
+         published.trial != present.trial;
 }
 
 }  // namespace
@@ -43,6 +47,7 @@
 void evidence_pool::Observe(const outcome_note& outcome, steady_time now) {
   record& entry = RecordOf(outcome.upstream, now);
   entry.health.Observe(outcome.evidence, now);
+  entry.used_at = now;
   if (outcome.evidence != attempt_evidence::kGood) {
     return;
   }
@@ -58,7 +63,9 @@
 }
 
 void evidence_pool::SetRunning(upstream_handle upstream, std::uint32_t running, steady_time now) {
-  RecordOf(upstream, now).running = running;
+  record& entry = RecordOf(upstream, now);
+  entry.used_at = now;
+  entry.running = running;
 }
 
 void evidence_pool::Retain(const std::set<upstream_handle>& known) {
@@ -75,11 +82,36 @@
       static_cast<std::uint32_t>(std::lround(entry.health.FailingAt(now) * kProbabilityUnits));
   condition.pace = static_cast<std::uint32_t>(std::lround(entry.pace));
   condition.running = entry.running;
+  condition.trial = entry.trial;
   condition.is_silent = now - std::max(entry.heard_at, entry.last_good_at) > patience &&
                         now - started_ > patience;
   return condition;
 }
 
+void evidence_pool::PlanTrials(const std::vector<upstream_handle>& service,
+                               bool is_struggling,
+                               steady_time now) {
+  std::vector<std::pair<double, record*>> idle;
+  for (const upstream_handle upstream : service) {
+    record& entry = RecordOf(upstream, now);
+    const auto unused = entry.running > 0 ? steady_time::duration() : now - entry.used_at;
+    entry.trial = unused > kLongIdle ? upstream_trial::kForRepeatable : upstream_trial::kNone;
+    if (unused > kIdle) {
+      idle.emplace_back(entry.health.FailingAt(now), &entry);
+    }
+  }
+  if (!is_struggling) {
+    return;
+  }
+  const auto wanted =
+      static_cast<std::size_t>(std::ceil(kUsedShare * static_cast<double>(service.size())));
+  const std::size_t used = service.size() - idle.size();
+  std::sort(idle.begin(), idle.end());
+  for (std::size_t i = 0; i < idle.size() && used + i < wanted; ++i) {
+    idle[i].second->trial = upstream_trial::kForAny;
+  }
+}
+
 bool evidence_pool::Refresh(steady_time now) {
   bool has_changed = false;
   for (auto& [upstream, entry] : records_) {
--- a/src/fleet/evidence_pool.h
+++ b/src/fleet/evidence_pool.h
@@ -29,6 +29,12 @@
   /// Drops what is known of upstreams that are not listed.
   void Retain(const std::set<upstream_handle>& known);
 
+  /// The upstreams of one service. `is_struggling`: so many of its requests fail that at least
+  /// `kUsedShare` of the upstreams must get some.
+  void PlanTrials(const std::vector<upstream_handle>& service, bool is_struggling, steady_time now);
+  /// Share of a service's upstreams that must be in use while the service is struggling.
+  static constexpr double kUsedShare = 0.75;
+
   /// Recomputes conditions, which change with time too. Returns whether one has changed.
   bool Refresh(steady_time now);
 
@@ -40,11 +46,14 @@
 
  private:
   struct record {
-    explicit record(steady_time now) : health(now), heard_at(now), last_good_at(now) {}
+    explicit record(steady_time now)
+        : health(now), used_at(now), heard_at(now), last_good_at(now) {}
 
     health_filter health;
     double pace = 0;  ///< Moving mean; 0 before the first good outcome.
     std::uint32_t running = 0;
+    steady_time used_at;  ///< Had a request.
+    upstream_trial trial = upstream_trial::kNone;
     steady_time heard_at;
     steady_time last_good_at;
     upstream_condition published;
--- a/src/fleet/fleet_core.cpp
+++ b/src/fleet/fleet_core.cpp
@@ -152,6 +152,7 @@
   }
   RefreshPolicy();
   RefreshLimits();
+  PlanTrials();
   if (evidence_.Refresh(now)) {
     ScheduleAnswers();
   }
--- a/src/fleet/fleet_core.h
+++ b/src/fleet/fleet_core.h
@@ -138,6 +138,7 @@
   void ExpireLoads();
   void RefreshLimits();
   void RefreshPolicy();
+  void PlanTrials();
   void ExpireSilent();
   std::uint32_t CountActiveVms() const;
 
--- a/src/fleet/fleet_core_pool.cpp
+++ b/src/fleet/fleet_core_pool.cpp
@@ -127,7 +127,7 @@
       ledger.CountWorkspace(note.name, note.first, note.second, at);
     }
     for (const count_note& note : services) {
-      ledger.CountService(note.name, note.first, note.second, at);
+      ledger.CountService(note.name, note.first, note.second, note.third, at);
     }
   };
   count(usage_);
@@ -235,7 +235,8 @@
   const double scale = RegionScale();
   const service_usage all = usage_.UsageOf(service, settings_.repeats, now);
   const service_usage own = regional_usage_.UsageOf(service, settings_.repeats, now);
-  return {all.requests, std::max(all.repeats, own.repeats * scale)};
+  return {all.requests, std::max(all.repeats, own.repeats * scale), all.recent_requests,
+          all.recent_failures};
 }
 
 void fleet_core::RefreshLimits() {
@@ -290,6 +291,19 @@
   ScheduleAnswers();
 }
 
+void fleet_core::PlanTrials() {
+  std::map<std::string, std::vector<upstream_handle>> services;
+  for (const upstream_entry& entry : state_.Upstreams()) {
+    if (entry.state == upstream_state::kReady) {
+      services[entry.service].push_back(entry.handle);
+    }
+  }
+  const steady_time now = clock_.Now();
+  for (const auto& [service, upstreams] : services) {
+    evidence_.PlanTrials(upstreams, IsStruggling(ServiceUsageOf(service)), now);
+  }
+}
+
 void fleet_core::ExpireSilent() {
   const steady_time now = clock_.Now();
   if (now < next_expiry_) {
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -34,18 +34,20 @@
   }
 };
 
-/// Two counts under one name: admitted and refused requests of a workspace, or requests and repeats
-/// of a service.
+/// Counts under one name: admitted and refused requests of a workspace, or requests, repeats and
+/// requests that ended without success of a service.
 struct count_note {
   std::string name;
   std::uint64_t first = 0;
   std::uint64_t second = 0;
+  std::uint64_t third = 0;
 
   template <class Self, class Visitor>
   static void ForEachField(Self& self, Visitor&& visit) {
     visit(1, self.name);
     visit(2, self.first);
     visit(3, self.second);
+    visit(4, self.third);
   }
 };
 
@@ -123,6 +125,7 @@
     } else {
       found->first += note.first;
       found->second += note.second;
+      found->third += note.third;
     }
   }
 }
@@ -141,6 +144,13 @@
 };
 
 
+/// Whether an upstream should get a request although another one looks better.
+enum class upstream_trial : std::uint8_t {
+  kNone,
+  kForRepeatable,  ///< By a request that can be repeated elsewhere: nothing current is known of it.
+  kForAny,         ///< By any request: too few upstreams of its struggling service get requests.
+};
+
 /// How an upstream does, from the outcomes of all VMs.
 struct upstream_condition {
   upstream_handle upstream = 0;
@@ -148,6 +158,7 @@
   std::uint32_t pace = 0;     ///< Mean of `outcome_note::pace`; 0 when not known.
   bool is_silent = false;     ///< Its announcements have stopped.
   std::uint32_t running = 0;  ///< Requests that it is working on for all VMs.
+  upstream_trial trial = upstream_trial::kNone;
 
   bool operator==(const upstream_condition&) const = default;
 
@@ -158,6 +169,7 @@
     visit(3, self.pace);
     visit(4, self.is_silent);
     visit(5, self.running);
+    visit(6, self.trial);
   }
 };
 
--- a/src/fleet/usage_ledger.cpp
+++ b/src/fleet/usage_ledger.cpp
@@ -18,6 +18,9 @@
 // Repeats are free until this share of the budget is used. The rest covers what all VMs send until
 // they have heard of it.
 constexpr double kFreeRepeats = 0.5;
+constexpr milliseconds kRecent(2000);
+// From a tenth of failures on, unused capacity counts as lost; the rest leaves time to react.
+constexpr double kStrugglingShare = 0.075;
 
 double LimitOf(const workspace_rate& limit, const rate_tolerance& tolerance) {
   const double base = static_cast<double>(limit.rate_per_second) *
@@ -68,10 +71,12 @@
 void usage_ledger::CountService(const std::string& service,
                                 std::uint64_t requests,
                                 std::uint64_t repeats,
+                                std::uint64_t failures,
                                 steady_time now) {
   service_counts& counts = services_[service];
   counts.requests.Add(requests, now);
   counts.repeats.Add(repeats, now);
+  counts.failures.Add(failures, now);
 }
 
 workspace_usage usage_ledger::UsageOf(const std::string& workspace,
@@ -95,7 +100,9 @@
     return {};
   }
   return {static_cast<double>(found->second.requests.Sum(bound.window, now)),
-          static_cast<double>(found->second.repeats.Sum(bound.window, now))};
+          static_cast<double>(found->second.repeats.Sum(bound.window, now)),
+          static_cast<double>(found->second.requests.Sum(kRecent, now)),
+          static_cast<double>(found->second.failures.Sum(kRecent, now))};
 }
 
 double AdmittedShare(const workspace_usage& usage,
@@ -118,6 +125,10 @@
          usage.spent + demand * (1 + kCountDelay) > LimitOf(limit, tolerance) * kNearShare;
 }
 
+bool IsStruggling(const service_usage& usage) {
+  return usage.recent_failures > kStrugglingShare * usage.recent_requests;
+}
+
 bool AreRepeatsScarce(const service_usage& usage, const repeat_bound& bound) {
   return usage.repeats > kFreeRepeats * (bound.ratio * usage.requests + bound.extra);
 }
--- a/src/fleet/usage_ledger.h
+++ b/src/fleet/usage_ledger.h
@@ -64,6 +64,8 @@
 struct service_usage {
   double requests = 0;
   double repeats = 0;
+  double recent_requests = 0;  ///< In the last two seconds.
+  double recent_failures = 0;  ///< Requests that ended without success in the last two seconds.
 };
 
 /// Share of a workspace's requests that the VMs may admit now, 0 to 1. It is 1 until the demand of
@@ -82,6 +84,11 @@
 /// load of failing upstreams that would make every VM repeat at once.
 bool AreRepeatsScarce(const service_usage& usage, const repeat_bound& bound);
 
+/// Whether so many requests end without success that every upstream of the service must get some:
+/// those that are avoided for old evidence may be sound again. Answers the load of many failing
+/// upstreams at once.
+bool IsStruggling(const service_usage& usage);
+
 /// Counts by workspace and by service. Not thread safe.
 class usage_ledger {
  public:
@@ -92,6 +99,7 @@
   void CountService(const std::string& service,
                     std::uint64_t requests,
                     std::uint64_t repeats,
+                    std::uint64_t failures,
                     steady_time now);
 
   workspace_usage UsageOf(const std::string& workspace,
@@ -109,6 +117,7 @@
   struct service_counts {
     sliding_count requests;
     sliding_count repeats;
+    sliding_count failures;
   };
   std::map<std::string, workspace_counts> workspaces_;
   std::map<std::string, service_counts> services_;
--- a/src/serving/fleet_link.cpp
+++ b/src/serving/fleet_link.cpp
@@ -272,13 +272,15 @@
   ScheduleReport(false);
 }
 
-void fleet_link::NoteService(const std::string& service, bool is_repeat) {
+void fleet_link::NoteService(const std::string& service, service_event event) {
   auto found = std::find_if(unsent_.services.begin(), unsent_.services.end(),
                             [&](const count_note& note) { return note.name == service; });
   if (found == unsent_.services.end()) {
-    found = unsent_.services.insert(found, {service, 0, 0});
+    found = unsent_.services.insert(found, {service, 0, 0, 0});
   }
-  ++(is_repeat ? found->second : found->first);
+  ++(event == service_event::kRequest  ? found->first
+     : event == service_event::kRepeat ? found->second
+                                       : found->third);
   ScheduleReport(false);
 }
 
--- a/src/serving/fleet_link.h
+++ b/src/serving/fleet_link.h
@@ -37,7 +37,8 @@
   // What was seen; sent soon after a failure, otherwise collected for a moment.
   void NoteOutcome(const outcome_note& outcome);
   void NoteWorkspace(const std::string& workspace, bool is_admitted);
-  void NoteService(const std::string& service, bool is_repeat);
+  enum class service_event { kRequest, kRepeat, kFailure };
+  void NoteService(const std::string& service, service_event event);
   void NoteCrash(const crash_note& note);
   /// The number of own requests that an upstream is working on has changed.
   void NoteLoad(upstream_handle upstream, std::uint32_t running);
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -35,12 +35,36 @@
          (candidate.is_silent ? kSilentLoss : 0);
 }
 
+namespace {
+
+// Several VMs see at once that an upstream is due, so that each takes it with this probability only.
+constexpr std::uint64_t kDuePerMille = 500;
+
+std::optional<std::size_t> ChooseDue(const std::vector<placement_candidate>& candidates,
+                                     std::mt19937_64& random) {
+  std::vector<std::size_t> due;
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    if (candidates[i].is_due) {
+      due.push_back(i);
+    }
+  }
+  if (due.empty() || random() % 1000 >= kDuePerMille) {
+    return std::nullopt;
+  }
+  return due[random() % due.size()];
+}
+
+}  // namespace
+
 std::optional<std::size_t> ChooseUpstream(const std::vector<placement_candidate>& candidates,
                                           const placement_costs& costs,
                                           std::mt19937_64& random) {
   if (candidates.empty()) {
     return std::nullopt;
   }
+  if (const auto due = ChooseDue(candidates, random)) {
+    return due;
+  }
   std::vector<double> losses;
   losses.reserve(candidates.size());
   for (const placement_candidate& candidate : candidates) {
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -21,6 +21,7 @@
   std::uint32_t running = 0;  ///< Requests of all VMs that it is working on.
   bool is_silent = false;     ///< Its announcements have stopped.
   bool is_cold = false;       ///< It has just started.
+  bool is_due = false;        ///< It has had no request for long and should get one.
 };
 
 /// What the request loses by each of these, in parts of its value.
@@ -33,7 +34,8 @@
 /// The expected loss at one candidate.
 double PlacementLoss(const placement_candidate& candidate, const placement_costs& costs);
 
-/// Returns the index of the candidate with the least expected loss; among those that are about
+/// Returns the index of a candidate that is due, with some probability, if there is one; otherwise
+/// of the candidate with the least expected loss; among those that are about
 /// equal one is drawn, so that VMs that know the same do not all choose the same upstream. Nothing
 /// without candidates. Answers the load of failing, slow and distant upstreams under normal
 /// traffic.
--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -232,7 +232,7 @@
     return;
   }
   context_.repeats.CountRequest(service_);
-  context_.link.NoteService(service_, false);
+  context_.link.NoteService(service_, fleet_link::service_event::kRequest);
   if (!TryNext(false)) {
     Refuse(error_kind::kNoUpstream, "no upstream of the service is known");
   }
@@ -242,11 +242,12 @@
 
 bool request_flow::TryNext(bool is_repeat) {
   const auto& known = context_.view.UpstreamsOf(service_);
+  const bool may_fail = IsIdempotent() && !is_repeat && runs_ + 1 < route_->attempts;
   std::vector<placement_candidate> candidates;
   std::vector<const known_upstream*> upstreams;
   for (const known_upstream* upstream : known) {
     if (!tried_.contains(upstream->entry.handle)) {
-      candidates.push_back(context_.book.CandidateOf(*upstream));
+      candidates.push_back(context_.book.CandidateOf(*upstream, may_fail));
       upstreams.push_back(upstream);
     }
   }
@@ -254,8 +255,7 @@
   const double kilobytes =
       learned == context_.answer_kilobytes.end() ? kUsualAnswerKilobytes : learned->second;
   placement_costs costs;
-  costs.failure =
-      IsIdempotent() && runs_ + 1 < route_->attempts ? kRepeatableFailureCost : 1;
+  costs.failure = may_fail ? kRepeatableFailureCost : 1;
   costs.other_data_centre = context_.settings.other_data_centre_per_kilobyte * kilobytes;
   costs.other_region = context_.settings.other_region_per_kilobyte * kilobytes;
   const auto chosen = ChooseUpstream(candidates, costs, context_.random);
@@ -277,6 +277,7 @@
                                                          context_.view.FreshAt())
                                  .count())
       .Field("left_ms", std::int64_t(TimeLeft().count()))
+      .Field("is_due", static_cast<int>(best.is_due))
       .Field("is_repeat", static_cast<int>(is_repeat));
   StartAttempt(*upstreams[*chosen], is_repeat);
   return true;
@@ -335,7 +336,7 @@
       ++self->runs_;
       ++self->arrivals_;
       if (is_repeat) {
-        self->context_.link.NoteService(self->service_, true);
+        self->context_.link.NoteService(self->service_, fleet_link::service_event::kRepeat);
       }
       self->FeedBody();
     }
@@ -589,6 +590,9 @@
 // ---- End ----
 
 void request_flow::Deliver(const answer_head& head, const std::string& body) {
+  if (head.status >= kFirstServerError) {
+    context_.link.NoteService(service_, fleet_link::service_event::kFailure);
+  }
   answer_head own = head;
   own.headers = WithoutHopByHop(head.headers);
   log_event(log_level::kInfo, "request_done")
@@ -624,6 +628,9 @@
 }
 
 void request_flow::Refuse(error_kind kind, const std::string& detail) {
+  if (has_begun_) {
+    context_.link.NoteService(service_, fleet_link::service_event::kFailure);
+  }
   log_event(log_level::kInfo, "request_refused")
       .Field("request_id", request_.id)
       .Field("attempt_id", attempt_id_)
--- a/src/serving/upstream_book.cpp
+++ b/src/serving/upstream_book.cpp
@@ -16,6 +16,8 @@
 constexpr milliseconds kShedMemory(300);
 constexpr std::uint32_t kShedAsRunning = 3;  // Requests per slot.
 constexpr milliseconds kColdTime(3500);
+// The pool knows of an own request after this time.
+constexpr milliseconds kOwnTrial(500);
 constexpr double kProbabilityUnits = 255;
 constexpr double kPaceUnits = 100;
 
@@ -35,7 +37,9 @@
 }
 
 void upstream_book::Start(upstream_handle upstream) {
-  link_.NoteLoad(upstream, ++RecordOf(upstream).running);
+  record& entry = RecordOf(upstream);
+  entry.started_at = clock_.Now();
+  link_.NoteLoad(upstream, ++entry.running);
 }
 
 void upstream_book::End(upstream_handle upstream) {
@@ -57,7 +61,25 @@
   RecordOf(upstream).shed_at = clock_.Now();
 }
 
-placement_candidate upstream_book::CandidateOf(const known_upstream& upstream) {
+// An upstream that gets no requests shows no evidence either: neither that it is sound again, nor
+// that a new one works at all.
+bool upstream_book::IsDue(const known_upstream& upstream, const record& own, bool may_try) const {
+  const steady_time now = clock_.Now();
+  if (now - own.started_at < kOwnTrial || now - own.shed_at < kShedMemory) {
+    return false;
+  }
+  const bool is_untried = !upstream.has_condition || upstream.condition.pace == 0;
+  if (is_untried && upstream.is_newcomer) {
+    return now - upstream.known_since > kColdTime;
+  }
+  if (!upstream.has_condition) {
+    return false;
+  }
+  return upstream.condition.trial == upstream_trial::kForAny ||
+         (may_try && upstream.condition.trial == upstream_trial::kForRepeatable);
+}
+
+placement_candidate upstream_book::CandidateOf(const known_upstream& upstream, bool may_try) {
   const steady_time now = clock_.Now();
   const record& own = RecordOf(upstream.entry.handle);
   double failing = upstream.has_condition ? upstream.condition.failing / kProbabilityUnits
@@ -81,6 +103,7 @@
   }
   candidate.is_silent = upstream.has_condition && upstream.condition.is_silent;
   candidate.is_cold = upstream.is_newcomer && now - upstream.known_since < kColdTime;
+  candidate.is_due = IsDue(upstream, own, may_try);
   return candidate;
 }
 
--- a/src/serving/upstream_book.h
+++ b/src/serving/upstream_book.h
@@ -39,7 +39,9 @@
   /// The upstream has refused a request because it is full.
   void NoteShed(upstream_handle upstream);
 
-  placement_candidate CandidateOf(const known_upstream& upstream);
+  /// What a request could expect there. `may_try`: the request can be repeated elsewhere when it
+  /// fails.
+  placement_candidate CandidateOf(const known_upstream& upstream, bool may_try);
   /// Drops records of upstreams that are gone and idle.
   void Sweep();
 
@@ -51,8 +53,10 @@
     std::uint32_t running = 0;
     steady_time failed_at{};
     steady_time shed_at{};
+    steady_time started_at{};
   };
   record& RecordOf(upstream_handle upstream);
+  bool IsDue(const known_upstream& upstream, const record& own, bool may_try) const;
 
   const fleet_view& view_;
   fleet_link& link_;
