--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -37,9 +37,6 @@
 
 namespace {
 
-// Several VMs see at once that an upstream is due, so that each takes it with this probability only.
-constexpr std::uint64_t kDuePerMille = 500;
-
 std::optional<std::size_t> ChooseDue(const std::vector<placement_candidate>& candidates,
                                      std::mt19937_64& random) {
   std::vector<std::size_t> due;
@@ -48,10 +45,7 @@
       due.push_back(i);
     }
   }
-  if (due.empty() || random() % 1000 >= kDuePerMille) {
-    return std::nullopt;
-  }
-  return due[random() % due.size()];
+  return due.empty() ? std::nullopt : std::optional(due[random() % due.size()]);
 }
 
 }  // namespace
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -34,8 +34,8 @@
 /// The expected loss at one candidate.
 double PlacementLoss(const placement_candidate& candidate, const placement_costs& costs);
 
-/// Returns the index of a candidate that is due, with some probability, if there is one; otherwise
-/// of the candidate with the least expected loss; among those that are about
+/// Returns the index of a candidate that is due, if there is one; otherwise of the candidate with
+/// the least expected loss; among those that are about
 /// equal one is drawn, so that VMs that know the same do not all choose the same upstream. Nothing
 /// without candidates. Answers the load of failing, slow and distant upstreams under normal
 /// traffic.
--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -87,7 +87,7 @@
       gate(settings.admission, shared_view, time),
       repeats(settings.repeats, time),
       connections(time),
-      book(shared_view, shared_link, settings.place, time),
+      book(shared_view, shared_link, settings.place, settings.vm, time),
       random(FastHash(RandomBytes(16))) {}
 
 // The position moves on by the golden ratio, which spreads any number of steps evenly over the
--- a/src/serving/request_flow.h
+++ b/src/serving/request_flow.h
@@ -35,6 +35,7 @@
 };
 
 struct serving_settings {
+  std::string vm;
   vm_place place;
   caller_dialect callers;
   upstream_dialect upstreams;
--- a/src/serving/upstream_book.cpp
+++ b/src/serving/upstream_book.cpp
@@ -1,5 +1,7 @@
 #include "serving/upstream_book.h"
 
+#include "base/hash.h"
+
 #include <algorithm>
 #include <cassert>
 
@@ -18,6 +20,8 @@
 constexpr milliseconds kColdTime(3500);
 // The pool knows of an own request after this time.
 constexpr milliseconds kOwnTrial(500);
+// Share of the VMs that may try an upstream in the same second.
+constexpr std::uint64_t kTrialPerMille = 120;
 constexpr double kProbabilityUnits = 255;
 constexpr double kPaceUnits = 100;
 
@@ -32,6 +36,22 @@
                                                              : nearness::kOtherRegion;
 }
 
+upstream_book::upstream_book(const fleet_view& view,
+                             fleet_link& link,
+                             vm_place place,
+                             const std::string& vm,
+                             const clock_source& clock)
+    : view_(view), link_(link), place_(std::move(place)), vm_hash_(FastHash(vm)), clock_(clock) {}
+
+// All VMs learn at the same moment that an upstream should be tried. A few of them, others each
+// second, may do it, so that it gets one request and not one of every VM.
+bool upstream_book::IsChosenForTrial(upstream_handle upstream) const {
+  const auto second = clock_.WallNow().time_since_epoch() / std::chrono::seconds(1);
+  const std::uint64_t parts[] = {vm_hash_, upstream, static_cast<std::uint64_t>(second)};
+  const std::string_view bytes(reinterpret_cast<const char*>(parts), sizeof(parts));
+  return FastHash(bytes) % 1000 < kTrialPerMille;
+}
+
 upstream_book::record& upstream_book::RecordOf(upstream_handle upstream) {
   return records_.try_emplace(upstream, clock_.Now()).first->second;
 }
@@ -65,7 +85,8 @@
 // that a new one works at all.
 bool upstream_book::IsDue(const known_upstream& upstream, const record& own, bool may_try) const {
   const steady_time now = clock_.Now();
-  if (now - own.started_at < kOwnTrial || now - own.shed_at < kShedMemory) {
+  if (now - own.started_at < kOwnTrial || now - own.shed_at < kShedMemory ||
+      !IsChosenForTrial(upstream.entry.handle)) {
     return false;
   }
   const bool is_untried = !upstream.has_condition || upstream.condition.pace == 0;
--- a/src/serving/upstream_book.h
+++ b/src/serving/upstream_book.h
@@ -30,8 +30,8 @@
   upstream_book(const fleet_view& view,
                 fleet_link& link,
                 vm_place place,
-                const clock_source& clock)
-      : view_(view), link_(link), place_(std::move(place)), clock_(clock) {}
+                const std::string& vm,
+                const clock_source& clock);
 
   void Start(upstream_handle upstream);
   void End(upstream_handle upstream);
@@ -56,11 +56,13 @@
     steady_time started_at{};
   };
   record& RecordOf(upstream_handle upstream);
+  bool IsChosenForTrial(upstream_handle upstream) const;
   bool IsDue(const known_upstream& upstream, const record& own, bool may_try) const;
 
   const fleet_view& view_;
   fleet_link& link_;
   const vm_place place_;
+  const std::uint64_t vm_hash_;
   const clock_source& clock_;
   std::map<upstream_handle, record> records_;
 };
