--- a/src/fleet/evidence_pool.cpp
+++ b/src/fleet/evidence_pool.cpp
@@ -17,7 +17,7 @@
 // Announcements may be late by seconds.
 constexpr int kSilentIntervals = 3;
 // A struggling service must not leave sound upstreams unused for two seconds.
-constexpr milliseconds kIdle(1500);
+constexpr milliseconds kIdle(1200);
 constexpr milliseconds kLongIdle(3000);
 constexpr milliseconds kCrashMemory(60'000);
 constexpr std::size_t kMaxSuspects = 1000;
@@ -91,24 +91,12 @@
 void evidence_pool::PlanTrials(const std::vector<upstream_handle>& service,
                                bool is_struggling,
                                steady_time now) {
-  std::vector<std::pair<double, record*>> idle;
   for (const upstream_handle upstream : service) {
     record& entry = RecordOf(upstream, now);
     const auto unused = entry.running > 0 ? steady_time::duration() : now - entry.used_at;
-    entry.trial = unused > kLongIdle ? upstream_trial::kForRepeatable : upstream_trial::kNone;
-    if (unused > kIdle) {
-      idle.emplace_back(entry.health.FailingAt(now), &entry);
-    }
-  }
-  if (!is_struggling) {
-    return;
-  }
-  const auto wanted =
-      static_cast<std::size_t>(std::ceil(kUsedShare * static_cast<double>(service.size())));
-  const std::size_t used = service.size() - idle.size();
-  std::sort(idle.begin(), idle.end());
-  for (std::size_t i = 0; i < idle.size() && used + i < wanted; ++i) {
-    idle[i].second->trial = upstream_trial::kForAny;
+    entry.trial = unused > kIdle && is_struggling ? upstream_trial::kForAny
+                  : unused > kLongIdle            ? upstream_trial::kForRepeatable
+                                                  : upstream_trial::kNone;
   }
 }
 
--- a/src/fleet/evidence_pool.h
+++ b/src/fleet/evidence_pool.h
@@ -29,11 +29,9 @@
   /// Drops what is known of upstreams that are not listed.
   void Retain(const std::set<upstream_handle>& known);
 
-  /// The upstreams of one service. `is_struggling`: so many of its requests fail that at least
-  /// `kUsedShare` of the upstreams must get some.
+  /// The upstreams of one service. `is_struggling`: so many of its requests fail that none of the
+  /// upstreams may stay unused, because those that are sound again cannot be told from the others.
   void PlanTrials(const std::vector<upstream_handle>& service, bool is_struggling, steady_time now);
-  /// Share of a service's upstreams that must be in use while the service is struggling.
-  static constexpr double kUsedShare = 0.75;
 
   /// Recomputes conditions, which change with time too. Returns whether one has changed.
   bool Refresh(steady_time now);
