--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -19,8 +19,7 @@
   static time_point now() noexcept {
     timespec value{};
     ::clock_gettime(CLOCK_BOOTTIME, &value);
-    return time_point(std::chrono::seconds(value.tv_sec) +
-                      std::chrono::nanoseconds(value.tv_nsec));
+    return time_point(std::chrono::seconds(value.tv_sec) + std::chrono::nanoseconds(value.tv_nsec));
   }
 };
 
--- a/src/consensus/message.h
+++ b/src/consensus/message.h
@@ -48,8 +48,8 @@
   std::int64_t sent_at = 0;
   std::uint64_t read_round = 0;
 
-  /// Answer to an append: time on the follower's clock in nanoseconds. The leader returns the newest
-  /// one with its next append, 0 while it holds no lease: see `consensus_core::FreshAt`.
+  /// Answer to an append: time on the follower's clock in nanoseconds. The leader returns the
+  /// newest one with its next append, 0 while it holds no lease: see `consensus_core::FreshAt`.
   std::int64_t follower_time = 0;
 
   /// Snapshot: a part of its data.
--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -116,8 +116,8 @@
   bool HasLease() const;
 
   /// The newest moment as of which the applied state is known to include everything that was
-  /// committed in the group by then: the present for a leader with a lease, a moment some heartbeats
-  /// ago for a member that hears such a leader, else the past.
+  /// committed in the group by then: the present for a leader with a lease, a moment some
+  /// heartbeats ago for a member that hears such a leader, else the past.
   steady_time FreshAt() const;
 
   /// The term in which this member leads, 0 when it does not.
--- a/src/control/control_node.h
+++ b/src/control/control_node.h
@@ -3,8 +3,8 @@
 
 #include "base/clock.h"
 #include "control/control_service.h"
-#include "status/status_server.h"
 #include "settings/settings_reader.h"
+#include "status/status_server.h"
 #include "wire/daemon.h"
 #include "wire/rpc.h"
 
--- a/src/entry/coordinator_client.cpp
+++ b/src/entry/coordinator_client.cpp
@@ -32,9 +32,15 @@
     std::string last_cause = "no member was asked";
   };
 
-  state(io_loop& owner, std::shared_ptr<tls_identity> own, const region_members& members,
+  state(io_loop& owner,
+        std::shared_ptr<tls_identity> own,
+        const region_members& members,
         const clock_source& time)
-      : clock(time), loop(owner), identity(std::move(own)), group(members), channels(members.members.size()) {}
+      : clock(time),
+        loop(owner),
+        identity(std::move(own)),
+        group(members),
+        channels(members.members.size()) {}
 
   rpc_channel& Channel(std::size_t index) {
     if (!channels[index]) {
--- a/src/entry/entry_context.h
+++ b/src/entry/entry_context.h
@@ -6,8 +6,8 @@
 #include "entry/entry_settings.h"
 #include "entry/lease_registry.h"
 #include "entry/retry_budget.h"
-#include "upstream/upstream_pool.h"
 #include "routing/router.h"
+#include "upstream/upstream_pool.h"
 #include "wire/io_loop.h"
 #include "wire/tls_identity.h"
 
@@ -40,9 +40,8 @@
   entry_worker(io_loop& own_loop, entry_context& shared)
       : loop(own_loop), context(shared), pool(shared.idle_connections, shared.clock) {
     for (const region_members& group : shared.settings.coordinators) {
-      coordinators.emplace(group.region,
-                           std::make_unique<coordinator_client>(own_loop, shared.identity, group,
-                                                                shared.clock));
+      coordinators.emplace(group.region, std::make_unique<coordinator_client>(
+                                             own_loop, shared.identity, group, shared.clock));
     }
   }
 
--- a/src/experiment/load_run.cpp
+++ b/src/experiment/load_run.cpp
@@ -66,7 +66,8 @@
     }
     const load_workspace& workspace = run.plan.workspaces[index % run.plan.workspaces.size()];
     const http_reply reply = client.Call(MakeCall(run.plan, workspace), run.plan.timeout);
-    Count(results[workspace.name], reply, duration_cast<microseconds>(SystemClock().Now() - intended));
+    Count(results[workspace.name], reply,
+          duration_cast<microseconds>(SystemClock().Now() - intended));
   }
 }
 
--- a/src/fleet/evidence_pool.cpp
+++ b/src/fleet/evidence_pool.cpp
@@ -26,10 +26,11 @@
   const auto failing_change = published.failing > present.failing
                                   ? published.failing - present.failing
                                   : present.failing - published.failing;
-  const auto pace_change = published.pace > present.pace ? published.pace - present.pace
-                                                         : present.pace - published.pace;
-  const auto pace_step = std::max(
-      kShortestPaceStep, static_cast<std::uint32_t>(kPaceStep * static_cast<double>(published.pace)));
+  const auto pace_change =
+      published.pace > present.pace ? published.pace - present.pace : present.pace - published.pace;
+  const auto pace_step =
+      std::max(kShortestPaceStep,
+               static_cast<std::uint32_t>(kPaceStep * static_cast<double>(published.pace)));
   return failing_change >= kFailingStep || pace_change >= pace_step ||
          published.is_silent != present.is_silent || published.running != present.running ||
          published.trial != present.trial;
@@ -83,8 +84,8 @@
   condition.pace = static_cast<std::uint32_t>(std::lround(entry.pace));
   condition.running = entry.running;
   condition.trial = entry.trial;
-  condition.is_silent = now - std::max(entry.heard_at, entry.last_good_at) > patience &&
-                        now - started_ > patience;
+  condition.is_silent =
+      now - std::max(entry.heard_at, entry.last_good_at) > patience && now - started_ > patience;
   return condition;
 }
 
@@ -135,7 +136,8 @@
 
 void crash_book::Note(const crash_note& note, steady_time now) {
   if (suspects_.size() >= kMaxSuspects) {
-    std::erase_if(suspects_, [&](const auto& item) { return now - item.second.last > kCrashMemory; });
+    std::erase_if(suspects_,
+                  [&](const auto& item) { return now - item.second.last > kCrashMemory; });
     if (suspects_.size() >= kMaxSuspects) {
       return;
     }
--- a/src/fleet/fleet_core.cpp
+++ b/src/fleet/fleet_core.cpp
@@ -74,9 +74,9 @@
   group.folder = settings_.folder;
   group.heartbeat = kHeartbeat;
   group.election_timeout = kElectionTimeout;
-  const bool is_seed = std::any_of(
-      settings_.seeds.begin(), settings_.seeds.end(),
-      [this](const replica_member& seed) { return seed.name == settings_.name; });
+  const bool is_seed =
+      std::any_of(settings_.seeds.begin(), settings_.seeds.end(),
+                  [this](const replica_member& seed) { return seed.name == settings_.name; });
   if (settings_.may_found && is_seed) {
     group.members = settings_.seeds;
   }
@@ -104,7 +104,8 @@
       "fleet.report", {},
       [this](const rpc_context&, report_request request, const rpc_callback<done_reply>& respond) {
         respond(done_reply{});
-        loop_.Post([this, request = std::move(request)]() mutable { OnReport(std::move(request)); });
+        loop_.Post(
+            [this, request = std::move(request)]() mutable { OnReport(std::move(request)); });
       });
   server_.Handle<share_request, done_reply>(
       "fleet.share", {},
@@ -199,14 +200,13 @@
     return OnSubmitted(what, NotAccepted("no leader is known"));
   }
   const auto left = std::chrono::duration_cast<milliseconds>(what->deadline - clock_.Now());
-  leader->Call<done_reply>("fleet.propose", propose_request{what->command},
-                           std::max(left, kProposalRetry),
-                           [this, what](const rpc_result<done_reply>& reply) {
-                             const auto* failure = std::get_if<rpc_failure>(&reply);
-                             OnSubmitted(what, failure != nullptr
-                                                   ? rpc_result<std::string>(*failure)
-                                                   : rpc_result<std::string>(std::string()));
-                           });
+  leader->Call<done_reply>(
+      "fleet.propose", propose_request{what->command}, std::max(left, kProposalRetry),
+      [this, what](const rpc_result<done_reply>& reply) {
+        const auto* failure = std::get_if<rpc_failure>(&reply);
+        OnSubmitted(what, failure != nullptr ? rpc_result<std::string>(*failure)
+                                             : rpc_result<std::string>(std::string()));
+      });
 }
 
 void fleet_core::OnSubmitted(const std::shared_ptr<proposal>& what,
@@ -300,8 +300,8 @@
   auto what = std::make_shared<proposal>();
   what->command.notices = std::exchange(queued_notices_, {});
   what->deadline = clock_.Now() + kProposalDeadline;
-  what->done = [callbacks = std::exchange(queued_callbacks_, {})](
-                   const rpc_result<done_reply>& reply) {
+  what->done = [callbacks =
+                    std::exchange(queued_callbacks_, {})](const rpc_result<done_reply>& reply) {
     for (const auto& callback : callbacks) {
       callback(reply);
     }
@@ -348,10 +348,9 @@
 // Repeated while this VM is no member, or hears no leader: it may have been removed meanwhile.
 void fleet_core::AskToJoin() {
   const steady_time now = clock_.Now();
-  const bool is_member =
-      std::any_of(status_.members.begin(), status_.members.end(), [this](const group_member& member) {
-        return member.replica_id == status_.replica_id;
-      });
+  const bool is_member = std::any_of(
+      status_.members.begin(), status_.members.end(),
+      [this](const group_member& member) { return member.replica_id == status_.replica_id; });
   const bool is_heard = now - replica_->FreshAt() < kElectionTimeout * 2;
   if ((is_member && is_heard) || now < next_join_ || status_.role == "failed") {
     return;
@@ -397,9 +396,8 @@
 }
 
 const group_member* fleet_core::FindMember(const std::string& name) const {
-  const auto found =
-      std::find_if(status_.members.begin(), status_.members.end(),
-                   [&](const group_member& member) { return member.name == name; });
+  const auto found = std::find_if(status_.members.begin(), status_.members.end(),
+                                  [&](const group_member& member) { return member.name == name; });
   return found == status_.members.end() ? nullptr : &*found;
 }
 
--- a/src/fleet/fleet_core.h
+++ b/src/fleet/fleet_core.h
@@ -28,7 +28,7 @@
 namespace corianderhoist {
 
 struct fleet_core_settings {
-  std::string name;              ///< Of this VM in the group; unique, stable over restarts.
+  std::string name;  ///< Of this VM in the group; unique, stable over restarts.
   std::string region;
   endpoint listen;               ///< Where `raft.*` and `fleet.*` are served.
   std::filesystem::path folder;  ///< Data folder.
@@ -168,8 +168,8 @@
   std::vector<watcher> watchers_;
   std::vector<upstream_notice> queued_notices_;
   std::vector<callback<done_reply>> queued_callbacks_;
-  load_table own_loads_;  ///< Reported by entry VMs to this core VM.
-  load_table all_loads_;  ///< The same, and those of other core VMs.
+  load_table own_loads_;                          ///< Reported by entry VMs to this core VM.
+  load_table all_loads_;                          ///< The same, and those of other core VMs.
   std::map<std::string, core_share> for_region_;  ///< Not yet sent to this region's core VMs.
   std::map<std::string, core_share> for_others_;  ///< Not yet sent across regions, by origin.
   std::map<upstream_handle, std::uint32_t> loads_in_region_;  ///< As last sent.
--- a/src/fleet/fleet_core_pool.cpp
+++ b/src/fleet/fleet_core_pool.cpp
@@ -40,7 +40,8 @@
   }
   const bool has_news = HasNews(waiting);
   // A VM has one call at a time; an older one was given up.
-  std::erase_if(watchers_, [&](const watcher& other) { return other.request.vm == waiting.request.vm; });
+  std::erase_if(watchers_,
+                [&](const watcher& other) { return other.request.vm == waiting.request.vm; });
   watchers_.push_back(std::move(waiting));
   if (has_news) {
     ScheduleAnswers();
@@ -112,8 +113,7 @@
 
 void fleet_core::ScheduleAnswers() {
   if (!std::exchange(is_answer_scheduled_, true)) {
-    const auto until_next =
-        std::chrono::ceil<milliseconds>(next_answer_ - clock_.Now());
+    const auto until_next = std::chrono::ceil<milliseconds>(next_answer_ - clock_.Now());
     loop_.After(std::max(kAnswerDelay, until_next), [this] { AnswerWatchers(); });
   }
 }
@@ -226,8 +226,13 @@
   const double scale = RegionScale();
   const workspace_usage all = usage_.UsageOf(workspace, settings_.rates, now);
   const workspace_usage own = regional_usage_.UsageOf(workspace, settings_.rates, now);
-  return {std::max(all.spent, own.spent * scale), std::max(all.admitted, own.admitted * scale),
-          std::max(all.refused, own.refused * scale)};
+  workspace_usage bound;
+  for (std::size_t i = 0; i < bound.spent.size(); ++i) {
+    bound.spent[i] = std::max(all.spent[i], own.spent[i] * scale);
+  }
+  bound.admitted_rate = std::max(all.admitted_rate, own.admitted_rate * scale);
+  bound.demand_rate = std::max(all.demand_rate, own.demand_rate * scale);
+  return bound;
 }
 
 service_usage fleet_core::ServiceUsageOf(const std::string& service) const {
@@ -265,7 +270,8 @@
   present.blocked_requests = crashes_.Blocked(now);
   const std::uint32_t active = CountActiveVms();
   // A few VMs more or less change nothing for the others.
-  const bool is_similar = active * 10 >= limits_.active_vms * 9 && active * 9 <= limits_.active_vms * 10;
+  const bool is_similar =
+      active * 10 >= limits_.active_vms * 9 && active * 9 <= limits_.active_vms * 10;
   present.active_vms = is_similar ? limits_.active_vms : active;
   if (present == limits_) {
     return;
@@ -277,9 +283,9 @@
     for (const workspace_share& share : present.workspaces) {
       const workspace_usage usage = UsageOf(share.workspace);
       event.Field("workspace " + share.workspace, static_cast<int>(share.per_mille))
-          .Field("spent", static_cast<int>(usage.spent))
-          .Field("admitted", static_cast<int>(usage.admitted))
-          .Field("refused", static_cast<int>(usage.refused));
+          .Field("spent", static_cast<int>(usage.spent.back()))
+          .Field("admitted_rate", static_cast<int>(usage.admitted_rate))
+          .Field("demand_rate", static_cast<int>(usage.demand_rate));
     }
     for (const std::string& service : present.scarce_services) {
       event.Field("repeats of " + service, "scarce");
--- a/src/fleet/fleet_core_share.cpp
+++ b/src/fleet/fleet_core_share.cpp
@@ -142,8 +142,8 @@
 }
 
 // Outcomes that did not arrive are too old to be sent again, but counts must not get lost: what is
-// admitted is bounded by them. Only for the one way to the leader: what the leader hands out to many
-// would reach those twice that did get it.
+// admitted is bounded by them. Only for the one way to the leader: what the leader hands out to
+// many would reach those twice that did get it.
 void fleet_core::KeepCounts(const share_request& request, steady_time sent_at) {
   const auto passed = std::chrono::duration_cast<milliseconds>(clock_.Now() - sent_at);
   for (const core_share& share : request.shares) {
@@ -208,7 +208,8 @@
     const auto known = peers_.find(member.name);
     share_request request;
     for (const auto& [origin, share] : pending) {
-      if (origin != member.name && (known == peers_.end() || share.region != known->second.region)) {
+      if (origin != member.name &&
+          (known == peers_.end() || share.region != known->second.region)) {
         request.shares.push_back(share);
       }
     }
--- a/src/fleet/fleet_state.cpp
+++ b/src/fleet/fleet_state.cpp
@@ -78,12 +78,12 @@
 }
 
 void fleet_state::Restore(std::string_view bytes) {
-  auto restored = Recover([&] { return Decode<state_snapshot>(bytes); },
-                          [](const error& failure) {
-                            log_event(log_level::kError, "snapshot_unreadable")
-                                .Field("cause", failure.detail);
-                            return state_snapshot();
-                          });
+  auto restored =
+      Recover([&] { return Decode<state_snapshot>(bytes); },
+              [](const error& failure) {
+                log_event(log_level::kError, "snapshot_unreadable").Field("cause", failure.detail);
+                return state_snapshot();
+              });
   const std::lock_guard guard(lock_);
   policy_ = std::move(restored.policy);
   roster_.Restore(std::move(restored.upstreams), restored.next_handle, restored.forgotten_index);
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -31,9 +31,9 @@
 
 /// One entry of the log.
 struct fleet_command {
-  policy_document policy;                 ///< Taken when its version is the highest.
+  policy_document policy;  ///< Taken when its version is the highest.
   std::vector<upstream_notice> notices;
-  std::vector<upstream_handle> expired;   ///< Not heard of for long.
+  std::vector<upstream_handle> expired;  ///< Not heard of for long.
 
   template <class Self, class Visitor>
   static void ForEachField(Self& self, Visitor&& visit) {
--- a/src/fleet/member_keeper.cpp
+++ b/src/fleet/member_keeper.cpp
@@ -15,9 +15,8 @@
 }
 
 const group_member* FindMember(const replica_status& status, const std::string& name) {
-  const auto found =
-      std::find_if(status.members.begin(), status.members.end(),
-                   [&](const group_member& member) { return member.name == name; });
+  const auto found = std::find_if(status.members.begin(), status.members.end(),
+                                  [&](const group_member& member) { return member.name == name; });
   return found == status.members.end() ? nullptr : &*found;
 }
 
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -117,9 +117,8 @@
 /// Adds counts under the same names.
 inline void MergeCounts(std::vector<count_note>& to, const std::vector<count_note>& from) {
   for (const count_note& note : from) {
-    const auto found = std::find_if(to.begin(), to.end(), [&](const count_note& each) {
-      return each.name == note.name;
-    });
+    const auto found = std::find_if(to.begin(), to.end(),
+                                    [&](const count_note& each) { return each.name == note.name; });
     if (found == to.end()) {
       to.push_back(note);
     } else {
@@ -143,7 +142,6 @@
   }
 };
 
-
 /// Whether an upstream should get a request although another one looks better.
 enum class upstream_trial : std::uint8_t {
   kNone,
--- a/src/fleet/serving_policy.h
+++ b/src/fleet/serving_policy.h
@@ -29,7 +29,7 @@
 struct policy_route {
   std::string name;
   std::string host;
-  std::string path_prefix;  ///< Begins with a slash.
+  std::string path_prefix;     ///< Begins with a slash.
   bool is_idempotent = false;  ///< May run more than once; otherwise at most once per attempt id.
   std::chrono::milliseconds timeout{};    ///< Longest time that a caller is kept waiting.
   std::chrono::milliseconds objective{};  ///< An answer within this time has its full value.
@@ -48,7 +48,7 @@
 struct policy_workspace {
   std::string name;
   std::vector<std::string> keys;
-  std::uint32_t priority = 0;        ///< Goes before the priority of the route.
+  std::uint32_t priority = 0;         ///< Goes before the priority of the route.
   std::uint64_t rate_per_second = 0;  ///< 0: no limit.
   std::uint64_t burst = 0;
 };
--- a/src/fleet/upstream_roster.cpp
+++ b/src/fleet/upstream_roster.cpp
@@ -56,8 +56,7 @@
   }
   switch (known->state) {
     case upstream_state::kGone:
-      // `sequence` is not reset by a farewell, only by an expiry for silence.
-      return known->sequence < 0 && !IsDeadStart(notice) ? effect::kReplace : effect::kNone;
+      return known->is_expired && !IsDeadStart(notice) ? effect::kReplace : effect::kNone;
     case upstream_state::kDraining:
       return effect::kNone;
     case upstream_state::kReady:
@@ -101,9 +100,17 @@
     entry.changed_index = index;
   }
   SupersedeAt(notice, index);
-  upstream_entry added{next_handle_++, notice.id,          notice.born_ms, notice.address,
-                       notice.service, notice.data_centre, notice.slots,   notice.state,
-                       notice.sequence, index};
+  upstream_entry added;
+  added.handle = next_handle_++;
+  added.id = notice.id;
+  added.born_ms = notice.born_ms;
+  added.address = notice.address;
+  added.service = notice.service;
+  added.data_centre = notice.data_centre;
+  added.slots = notice.slots;
+  added.state = notice.state;
+  added.sequence = notice.sequence;
+  added.changed_index = index;
   by_id_[added.id] = added.handle;
   if (!added.address.empty()) {
     by_address_[added.address] = added.handle;
@@ -132,7 +139,7 @@
     return;
   }
   found->second.state = upstream_state::kGone;
-  found->second.sequence = -1;
+  found->second.is_expired = true;
   found->second.changed_index = index;
 }
 
@@ -148,9 +155,8 @@
 
 void upstream_roster::ForgetOldest() {
   const auto gone = static_cast<std::size_t>(
-      std::count_if(entries_.begin(), entries_.end(), [](const auto& item) {
-        return item.second.state == upstream_state::kGone;
-      }));
+      std::count_if(entries_.begin(), entries_.end(),
+                    [](const auto& item) { return item.second.state == upstream_state::kGone; }));
   if (gone <= kMaxGone) {
     return;
   }
--- a/src/fleet/upstream_roster.h
+++ b/src/fleet/upstream_roster.h
@@ -30,6 +30,7 @@
   std::string data_centre;
   std::uint32_t slots = 1;  ///< Requests that it works on at once.
   upstream_state state = upstream_state::kReady;
+  bool is_expired = false;          ///< Gone for silence alone: it returns when it is heard of.
   std::int64_t sequence = -1;       ///< Of the newest announcement that was taken.
   std::uint64_t changed_index = 0;  ///< Log entry of the last change.
 
@@ -47,6 +48,7 @@
     visit(8, self.state);
     visit(9, self.sequence);
     visit(10, self.changed_index);
+    visit(11, self.is_expired);
   }
 };
 
--- a/src/fleet/usage_ledger.cpp
+++ b/src/fleet/usage_ledger.cpp
@@ -7,9 +7,11 @@
 
 using std::chrono::milliseconds;
 
-// How far ahead admission looks: longer than a count takes to reach every VM.
-constexpr milliseconds kHorizon(1000);
-// Time until a count of one VM has changed what all others admit, in horizons.
+constexpr milliseconds kRateTime(1000);
+// A rate is measured over this time as well, so that a step of the demand is seen at once.
+constexpr milliseconds kStep(400);
+// Seconds for which VMs go on as before: until a request is counted, and until the decision reaches
+// them.
 constexpr double kCountDelay = 0.3;
 constexpr double kToleranceUsed = 0.5;
 // Below this share of the limit nothing is refused.
@@ -29,6 +31,13 @@
   return base + kToleranceUsed * (base * tolerance.excess + tolerance.slack);
 }
 
+// Per second; the larger of a slow and a quick estimate.
+double RateOf(const sliding_count& count, steady_time now) {
+  const double per_step = std::chrono::duration<double>(kRateTime) / kStep;
+  return std::max(static_cast<double>(count.Sum(kRateTime, now)),
+                  static_cast<double>(count.Sum(kStep, now)) * per_step);
+}
+
 std::int64_t PartOf(steady_time now) {
   return now.time_since_epoch() / sliding_count::kPart;
 }
@@ -87,9 +96,14 @@
     return {};
   }
   const workspace_counts& counts = found->second;
-  return {static_cast<double>(counts.admitted.Sum(tolerance.window - kHorizon, now)),
-          static_cast<double>(counts.admitted.Sum(kHorizon, now)),
-          static_cast<double>(counts.refused.Sum(kHorizon, now))};
+  workspace_usage usage;
+  usage.admitted_rate = RateOf(counts.admitted, now);
+  usage.demand_rate = usage.admitted_rate + RateOf(counts.refused, now);
+  for (std::size_t i = 0; i < usage.spent.size(); ++i) {
+    usage.spent[i] = static_cast<double>(
+        counts.admitted.Sum(tolerance.window - workspace_usage::kHorizons[i], now));
+  }
+  return usage;
 }
 
 service_usage usage_ledger::UsageOf(const std::string& service,
@@ -108,21 +122,27 @@
 double AdmittedShare(const workspace_usage& usage,
                      const workspace_rate& limit,
                      const rate_tolerance& tolerance) {
-  const double demand = usage.admitted + usage.refused;
+  if (limit.rate_per_second == 0 || usage.demand_rate == 0) {
+    return 1;
+  }
   const double allowed = LimitOf(limit, tolerance);
-  if (limit.rate_per_second == 0 || demand == 0 ||
-      usage.spent + demand * (1 + kCountDelay) <= allowed * kFreeShare) {
+  const double underway = usage.admitted_rate * kCountDelay;
+  if (usage.spent.back() + underway + usage.demand_rate <= allowed * kFreeShare) {
     return 1;
   }
-  return std::clamp((allowed - usage.spent - usage.admitted * kCountDelay) / demand, 0.0, 1.0);
+  double share = 1;
+  for (std::size_t i = 0; i < usage.spent.size(); ++i) {
+    const double ahead = std::chrono::duration<double>(workspace_usage::kHorizons[i]).count();
+    share = std::min(share, (allowed - usage.spent[i] - underway) / (usage.demand_rate * ahead));
+  }
+  return std::max(share, 0.0);
 }
 
 bool IsNearLimit(const workspace_usage& usage,
                  const workspace_rate& limit,
                  const rate_tolerance& tolerance) {
-  const double demand = usage.admitted + usage.refused;
   return limit.rate_per_second != 0 &&
-         usage.spent + demand * (1 + kCountDelay) > LimitOf(limit, tolerance) * kNearShare;
+         usage.spent.back() + usage.demand_rate > LimitOf(limit, tolerance) * kNearShare;
 }
 
 bool IsStruggling(const service_usage& usage) {
--- a/src/fleet/usage_ledger.h
+++ b/src/fleet/usage_ledger.h
@@ -13,15 +13,16 @@
 
 namespace corianderhoist {
 
-/// Counts of the last ten seconds, in parts of 250 ms. Not thread safe.
+/// Counts of the last ten seconds, in parts of 100 ms. Not thread safe.
 class sliding_count {
  public:
   void Add(std::uint64_t amount, steady_time now);
   /// Sum over the last `window`, to the resolution of a part.
   std::uint64_t Sum(std::chrono::milliseconds window, steady_time now) const;
 
-  static constexpr std::chrono::milliseconds kPart{250};
-  static constexpr std::size_t kParts = 44;  // 11 s, so that a window of 10 s has whole parts.
+  static constexpr std::chrono::milliseconds kPart{100};
+  static constexpr std::size_t kParts =
+      105;  // More than 10 s, so that this window has whole parts.
 
  private:
   struct part {
@@ -48,9 +49,15 @@
 
 /// What the decision about a workspace rests on.
 struct workspace_usage {
-  double spent = 0;     ///< Admitted in the window, less its oldest second.
-  double admitted = 0;  ///< In the last second.
-  double refused = 0;   ///< In the last second.
+  /// How far ahead a decision looks. What was admitted at the beginning of the window has left it
+  /// by then, but not before: so a step of admitted requests is not followed by a second one.
+  static constexpr std::array kHorizons = {
+      std::chrono::milliseconds(250), std::chrono::milliseconds(500),
+      std::chrono::milliseconds(750), std::chrono::milliseconds(1000)};
+  /// By horizon: admitted in the window that ends then, as far as it has passed.
+  std::array<double, kHorizons.size()> spent{};
+  double admitted_rate = 0;  ///< Per second, now.
+  double demand_rate = 0;    ///< Admitted and refused, per second, now.
 };
 
 /// Bound on repeats: in any `window`, at most ratio x requests + extra, per service.
--- a/src/http/front_connection.cpp
+++ b/src/http/front_connection.cpp
@@ -16,7 +16,7 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kLingerTimeout(1000);
-constexpr std::size_t kMaxAhead = 8;             // Requests.
+constexpr std::size_t kMaxAhead = 8;  // Requests.
 constexpr std::size_t kMaxHeldBody = 128UL << 10U;
 constexpr std::size_t kMaxIncoming = 256UL << 10U;
 // An answered request's body that is shorter is read to its end, so that the connection stays open.
@@ -173,11 +173,11 @@
 
 void front_connection::Start(int descriptor) {
   limits_ = context_.limits();
-  stream_ = tcp_stream::Adopt(
-      descriptor, {.on_connected = {},
-                   .on_bytes = [this](std::string_view bytes) { OnBytes(bytes); },
-                   .on_end = [this](stream_end) { OnEnd(); },
-                   .on_drained = [this] { OnAnswerProgress(); }});
+  stream_ =
+      tcp_stream::Adopt(descriptor, {.on_connected = {},
+                                     .on_bytes = [this](std::string_view bytes) { OnBytes(bytes); },
+                                     .on_end = [this](stream_end) { OnEnd(); },
+                                     .on_drained = [this] { OnAnswerProgress(); }});
 }
 
 bool front_connection::IsBusy() const {
@@ -488,8 +488,8 @@
       answer->on_left();
     }
   }
-  // The end may be reported from inside a callback of the stream, so destruction waits for the event
-  // loop.
+  // The end may be reported from inside a callback of the stream, so destruction waits for the
+  // event loop.
   QTimer::singleShot(0, [self = shared_from_this()] {
     self->stream_.reset();
     self->on_end_(self.get());
--- a/src/http/front_connection.h
+++ b/src/http/front_connection.h
@@ -103,8 +103,8 @@
   std::function<void(front_connection*)> on_end_;
   std::unique_ptr<tcp_stream> stream_;
   std::unique_ptr<request_reader> reader_;
-  std::shared_ptr<request_body> body_;        ///< Of the request that is being read.
-  std::optional<http_request> waiting_;       ///< Header is known; must not run beside others.
+  std::shared_ptr<request_body> body_;         ///< Of the request that is being read.
+  std::optional<http_request> waiting_;        ///< Header is known; must not run beside others.
   std::deque<std::shared_ptr<sink>> answers_;  ///< In the order of the requests.
   front_limits limits_;
   std::string incoming_;
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -3,8 +3,8 @@
 #include "http/request_checks.h"
 
 #include <boost/asio/buffer.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
 
 #include <array>
 
--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -80,9 +80,9 @@
   bool is_started = descriptor >= 0 && ToSocketAddress(address, target);
   if (is_started) {
     Configure(descriptor);
-    is_started = ::connect(descriptor, reinterpret_cast<const sockaddr*>(&target),
-                           sizeof(target)) == 0 ||
-                 errno == EINPROGRESS;
+    is_started =
+        ::connect(descriptor, reinterpret_cast<const sockaddr*>(&target), sizeof(target)) == 0 ||
+        errno == EINPROGRESS;
   }
   if (!is_started) {
     // Reported from the event loop, like every other outcome.
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -29,10 +29,10 @@
 class tcp_stream {
  public:
   struct events {
-    std::function<void()> on_connected;                 ///< Only after `Connect`.
-    std::function<void(std::string_view)> on_bytes;     ///< Bytes that arrived.
-    std::function<void(stream_end)> on_end;             ///< Once; nothing follows.
-    std::function<void()> on_drained;                   ///< All written bytes have been handed on.
+    std::function<void()> on_connected;              ///< Only after `Connect`.
+    std::function<void(std::string_view)> on_bytes;  ///< Bytes that arrived.
+    std::function<void(stream_end)> on_end;          ///< Once; nothing follows.
+    std::function<void()> on_drained;                ///< All written bytes have been handed on.
   };
 
   /// Starts a connection; the outcome comes as `on_connected` or `on_end`.
--- a/src/serving/admission.cpp
+++ b/src/serving/admission.cpp
@@ -59,8 +59,7 @@
   decision.workspace =
       request.key != nullptr ? decision.policy->FindWorkspace(*request.key) : nullptr;
   if (decision.workspace == nullptr) {
-    const auto kind =
-        request.key == nullptr ? error_kind::kKeyMissing : error_kind::kKeyUnknown;
+    const auto kind = request.key == nullptr ? error_kind::kKeyMissing : error_kind::kKeyUnknown;
     decision.refusal = is_recent ? kind : error_kind::kStateUnconfirmed;
     decision.detail = request.key == nullptr ? "request has no key" : "key is not known";
   }
--- a/src/serving/admission.h
+++ b/src/serving/admission.h
@@ -29,12 +29,12 @@
 
 /// The answer: a route and a workspace, or a refusal.
 struct admission_decision {
-  policy_ptr policy;                               ///< Owns what the next two point to.
+  policy_ptr policy;  ///< Owns what the next two point to.
   const policy_route* route = nullptr;
-  const policy_workspace* workspace = nullptr;     ///< Null on an open route.
+  const policy_workspace* workspace = nullptr;  ///< Null on an open route.
   std::optional<error_kind> refusal;
   std::string detail;
-  std::chrono::milliseconds state_age{};           ///< Of the view that decided.
+  std::chrono::milliseconds state_age{};  ///< Of the view that decided.
 };
 
 /// Permission to serve keyed requests is a lease that each answer of a core VM renews: it starts at
--- a/src/serving/fleet_link.cpp
+++ b/src/serving/fleet_link.cpp
@@ -67,8 +67,8 @@
 
 rpc_channel& fleet_link::ChannelOf(core& which) {
   if (!which.channel) {
-    which.channel = std::make_unique<rpc_channel>(loop_, nullptr, which.address,
-                                                  FormatEndpoint(which.address));
+    which.channel =
+        std::make_unique<rpc_channel>(loop_, nullptr, which.address, FormatEndpoint(which.address));
   }
   return *which.channel;
 }
@@ -199,8 +199,8 @@
 }
 
 void fleet_link::Measure(core& which, const watch_reply& reply, steady_time sent_at) {
-  const auto round_trip = std::chrono::duration_cast<std::chrono::microseconds>(
-      clock_.Now() - sent_at - reply.held);
+  const auto round_trip =
+      std::chrono::duration_cast<std::chrono::microseconds>(clock_.Now() - sent_at - reply.held);
   const auto measured = std::max(round_trip, std::chrono::microseconds(1));
   which.round_trip =
       which.round_trip.count() == 0 ? measured : std::min(which.round_trip, measured);
--- a/src/serving/fleet_link.h
+++ b/src/serving/fleet_link.h
@@ -21,11 +21,14 @@
   std::vector<endpoint> seeds;  ///< Core VMs to ask first; may be down or gone.
 };
 
-/// Follows one core VM, the one that answers fastest, and goes to another when it does not answer or
-/// is itself behind. Lives on the thread of its loop.
+/// Follows one core VM, the one that answers fastest, and goes to another when it does not answer
+/// or is itself behind. Lives on the thread of its loop.
 class fleet_link {
  public:
-  fleet_link(io_loop& loop, fleet_link_settings settings, fleet_view& view, const clock_source& clock);
+  fleet_link(io_loop& loop,
+             fleet_link_settings settings,
+             fleet_view& view,
+             const clock_source& clock);
   ~fleet_link();
   fleet_link(const fleet_link&) = delete;
   fleet_link& operator=(const fleet_link&) = delete;
@@ -84,7 +87,7 @@
   std::map<endpoint, std::unique_ptr<core>> cores_;
   core* current_ = nullptr;
   observations unsent_;
-  std::vector<kept_counts> kept_;  ///< Their first message did not arrive.
+  std::vector<kept_counts> kept_;                      ///< Their first message did not arrive.
   std::map<upstream_handle, std::uint32_t> loads_;     ///< Present ones that are not 0.
   std::map<upstream_handle, std::uint32_t> reported_;  ///< As the current core VM has them.
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
--- a/src/serving/fleet_view.h
+++ b/src/serving/fleet_view.h
@@ -21,8 +21,8 @@
   endpoint address;
   upstream_condition condition;  ///< As the core VM last gave it.
   bool has_condition = false;
-  steady_time known_since;       ///< When this VM heard of it first.
-  bool is_newcomer = false;      ///< Came after this VM had a roster: it starts cold.
+  steady_time known_since;   ///< When this VM heard of it first.
+  bool is_newcomer = false;  ///< Came after this VM had a roster: it starts cold.
 };
 
 /// Versions and log indices only grow, whichever core VM answers. Not thread safe.
--- a/src/serving/placement.cpp
+++ b/src/serving/placement.cpp
@@ -28,8 +28,8 @@
                       (candidate.is_cold ? kColdFactor : 1) * (1 + waiting);
   const double late = std::clamp((pace - kSafePace) * kLateLoss, 0.0, kMostLateLoss);
   const double bytes = candidate.distance == nearness::kSameDataCentre ? 0
-                       : candidate.distance == nearness::kSameRegion  ? costs.other_data_centre
-                                                                      : costs.other_region;
+                       : candidate.distance == nearness::kSameRegion   ? costs.other_data_centre
+                                                                       : costs.other_region;
   const double busy = kBusyLoss * std::min(1.0, candidate.running / slots);
   return candidate.failure * costs.failure + late + bytes + busy +
          (candidate.is_silent ? kSilentLoss : 0);
--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -14,8 +14,8 @@
 
 /// What is known of one upstream that could run the request.
 struct placement_candidate {
-  double failure = 0;    ///< Probability that the request fails there.
-  double pace = 0;       ///< Expected time to the answer, as a share of the objective; 0: unknown.
+  double failure = 0;  ///< Probability that the request fails there.
+  double pace = 0;     ///< Expected time to the answer, as a share of the objective; 0: unknown.
   nearness distance = nearness::kSameDataCentre;
   std::uint32_t slots = 1;
   std::uint32_t running = 0;  ///< Requests of all VMs that it is working on.
@@ -26,7 +26,7 @@
 
 /// What the request loses by each of these, in parts of its value.
 struct placement_costs {
-  double failure = 1;        ///< A failed attempt: 1 when it cannot be repeated.
+  double failure = 1;            ///< A failed attempt: 1 when it cannot be repeated.
   double other_data_centre = 0;  ///< The bytes of the answer.
   double other_region = 0;
 };
--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -176,7 +176,8 @@
   workspace_ = decision.workspace;
   milliseconds patience = route_->timeout;
   if (const auto given = ReadNumber(FindHeader(request_.headers, names.deadline_ms))) {
-    patience = patience.count() > 0 ? std::min(patience, milliseconds(*given)) : milliseconds(*given);
+    patience =
+        patience.count() > 0 ? std::min(patience, milliseconds(*given)) : milliseconds(*given);
   }
   deadline_ = arrived_ + patience;
   if (workspace_ != nullptr) {
@@ -273,9 +274,8 @@
       .Field("pace_per_cent", static_cast<int>(best.pace * 100))
       .Field("distance", static_cast<int>(best.distance))
       .Field("candidates", std::uint64_t(candidates.size()))
-      .Field("state_age_ms", duration_cast<milliseconds>(context_.clock.Now() -
-                                                         context_.view.FreshAt())
-                                 .count())
+      .Field("state_age_ms",
+             duration_cast<milliseconds>(context_.clock.Now() - context_.view.FreshAt()).count())
       .Field("left_ms", std::int64_t(TimeLeft().count()))
       .Field("is_due", static_cast<int>(best.is_due))
       .Field("is_repeat", static_cast<int>(is_repeat));
@@ -314,8 +314,8 @@
   plan.has_body = plan.body_length != std::uint64_t(0) ||
                   FindHeader(request_.headers, "Content-Length") != nullptr ||
                   (request_.method != "GET" && request_.method != "HEAD");
-  const bool is_far = context_.settings.place.DistanceTo(upstream.entry.data_centre) ==
-                      nearness::kOtherRegion;
+  const bool is_far =
+      context_.settings.place.DistanceTo(upstream.entry.data_centre) == nearness::kOtherRegion;
   plan.connect_timeout = std::min(is_far ? kConnectTimeoutFar : kConnectTimeout, TimeLeft());
   plan.longest_idle = IsIdempotent() ? kReuseIdempotent : kReuseOnce;
   return plan;
@@ -351,7 +351,8 @@
       self->OnAnswerBody(which, part);
     }
   };
-  events.on_end = [weak, which, &context = context_](call_result result, const std::string& detail) {
+  events.on_end = [weak, which, &context = context_](call_result result,
+                                                     const std::string& detail) {
     context.book.End(which->upstream);
     if (const auto self = weak.lock()) {
       self->OnAttemptEnd(which, result, detail);
@@ -362,9 +363,9 @@
       self->FeedBody();
     }
   };
-  which->call = std::make_shared<upstream_call>(context_.connections, context_.settings.upstreams,
-                                                context_.clock, MakePlan(upstream),
-                                                std::move(events));
+  which->call =
+      std::make_shared<upstream_call>(context_.connections, context_.settings.upstreams,
+                                      context_.clock, MakePlan(upstream), std::move(events));
   which->call->SendBody(kept_body_);
   if (body_->IsComplete()) {
     which->call->FinishBody();
@@ -444,8 +445,8 @@
   outcome_note note{which.upstream, evidence, 0};
   if (has_pace && route_->objective.count() > 0) {
     const auto taken = duration_cast<microseconds>(context_.clock.Now() - which.started);
-    const double pace = std::chrono::duration<double>(taken) /
-                        std::chrono::duration<double>(route_->objective);
+    const double pace =
+        std::chrono::duration<double>(taken) / std::chrono::duration<double>(route_->objective);
     note.pace = std::max(1U, static_cast<std::uint32_t>(pace * kPaceUnits));
   }
   context_.link.NoteOutcome(note);
@@ -478,9 +479,9 @@
   switch (result) {
     case call_result::kAnswered:
       NoteEvidence(*which,
-                   !is_server_error                       ? attempt_evidence::kGood
+                   !is_server_error                        ? attempt_evidence::kGood
                    : which->head.status == kGatewayTimeout ? attempt_evidence::kUnheard
-                                                          : attempt_evidence::kFailed,
+                                                           : attempt_evidence::kFailed,
                    !is_server_error);
       break;
     case call_result::kNotConnected:
@@ -533,8 +534,8 @@
 void request_flow::OnAnswered(const attempt_ptr& which) {
   double& kilobytes =
       context_.answer_kilobytes.try_emplace(route_->name, kUsualAnswerKilobytes).first->second;
-  kilobytes += kAnswerWeight *
-               (static_cast<double>(which->body.size()) / kBytesPerKilobyte - kilobytes);
+  kilobytes +=
+      kAnswerWeight * (static_cast<double>(which->body.size()) / kBytesPerKilobyte - kilobytes);
   Deliver(which->head, which->body);
 }
 
@@ -552,9 +553,8 @@
   }
   const bool has_arrived = arrivals_ > 0;
   if (MayRepeat() &&
-      (!has_arrived ||
-       context_.repeats.TryTake(service_, context_.view.AreRepeatsScarce(service_),
-                                context_.view.Limits().active_vms)) &&
+      (!has_arrived || context_.repeats.TryTake(service_, context_.view.AreRepeatsScarce(service_),
+                                                context_.view.Limits().active_vms)) &&
       TryNext(has_arrived)) {
     return;
   }
@@ -621,9 +621,8 @@
     return {};
   }
   const bool is_long = kind == error_kind::kRequestHeldBack;
-  const auto spread =
-      milliseconds(static_cast<std::int64_t>(context_.random() %
-                                             static_cast<std::uint64_t>(kRetrySpread.count())));
+  const auto spread = milliseconds(static_cast<std::int64_t>(
+      context_.random() % static_cast<std::uint64_t>(kRetrySpread.count())));
   return (is_long ? milliseconds(*base) : kShortestRetry) + spread;
 }
 
--- a/src/serving/serving_vm.cpp
+++ b/src/serving/serving_vm.cpp
@@ -44,9 +44,9 @@
   });
 }
 
-result<void> serving_vm::Start() {
+result<std::uint16_t> serving_vm::Start() {
   error failure;
-  bool has_failed = false;
+  std::uint16_t port = 0;
   loop_.RunAndWait([&] {
     link_ = std::make_unique<fleet_link>(loop_, settings_.link, *view_, clock_);
     link_->on_news = [this] { UpdateReady(); };
@@ -73,19 +73,19 @@
     listener_ = std::make_unique<tcp_listener>([this](int descriptor) { Accept(descriptor); });
     Recover(
         [&]() -> result<void> {
-          BOOST_LEAF_CHECK(listener_->Listen(settings_.listen));
+          BOOST_LEAF_ASSIGN(port, listener_->Listen(settings_.listen));
           return {};
         },
-        [&](const error& cause) {
-          has_failed = true;
-          failure = cause;
-        });
+        [&](const error& cause) { failure = cause; });
     sweep_timer_ = std::make_unique<QTimer>();
     QObject::connect(sweep_timer_.get(), &QTimer::timeout, sweep_timer_.get(), [this] { Sweep(); });
     sweep_timer_->start(kSweepInterval);
     link_->Start();
   });
-  return has_failed ? result<void>(Fail(failure.kind, failure.detail)) : result<void>();
+  if (port == 0) {
+    return Fail(failure.kind, failure.detail);
+  }
+  return port;
 }
 
 void serving_vm::SetSeeds(std::vector<endpoint> seeds) {
@@ -138,9 +138,8 @@
   if (is_ready_.exchange(is_ready) != is_ready) {
     log_event(log_level::kInfo, is_ready ? "ready" : "not_ready")
         .Field("is_draining", static_cast<int>(is_draining_))
-        .Field("state_age_ms", std::chrono::duration_cast<milliseconds>(
-                                   clock_.Now() - view_->FreshAt())
-                                   .count());
+        .Field("state_age_ms",
+               std::chrono::duration_cast<milliseconds>(clock_.Now() - view_->FreshAt()).count());
   }
 }
 
@@ -190,8 +189,7 @@
 QJsonObject serving_vm::Dump() const {
   const auto age = std::chrono::duration_cast<milliseconds>(clock_.Now() - view_->FreshAt());
   return {{"is_ready", is_ready_.load()},
-          {"policy_version",
-           static_cast<qint64>(view_->Policy() ? view_->Policy()->Version() : 0)},
+          {"policy_version", static_cast<qint64>(view_->Policy() ? view_->Policy()->Version() : 0)},
           {"state_age_ms", static_cast<qint64>(age.count())},
           {"connections", static_cast<qint64>(connections_.size())},
           {"running", static_cast<qint64>(context_->flows.size())},
--- a/src/serving/serving_vm.h
+++ b/src/serving/serving_vm.h
@@ -40,8 +40,8 @@
   serving_vm(const serving_vm&) = delete;
   serving_vm& operator=(const serving_vm&) = delete;
 
-  /// Opens the port. Fails with `kUnreachable`.
-  result<void> Start();
+  /// Opens the port and returns it. Fails with `kUnreachable`.
+  result<std::uint16_t> Start();
   /// Replaces the addresses of the core VMs, after a change of the settings.
   void SetSeeds(std::vector<endpoint> seeds);
   /// Whether callers should be sent here. Thread safe.
--- a/src/serving/upstream_book.cpp
+++ b/src/serving/upstream_book.cpp
@@ -10,8 +10,8 @@
 
 using std::chrono::milliseconds;
 
-// The pool includes an own failure after about a round trip to the core VM; until then, and while no
-// core VM answers, the own filter counts as well.
+// The pool includes an own failure after about a round trip to the core VM; until then, and while
+// no core VM answers, the own filter counts as well.
 constexpr milliseconds kOwnEvidence(400);
 constexpr milliseconds kPoolStale(1500);
 // An upstream that was full is likely to be so for about one request's work.
--- a/src/serving/upstream_call.cpp
+++ b/src/serving/upstream_call.cpp
@@ -92,9 +92,8 @@
   const steady_time now = clock_.Now();
   for (auto& [upstream, connections] : idle_) {
     const bool is_kept = is_known(upstream);
-    std::erase_if(connections, [&](const idle_connection& each) {
-      return !is_kept || now >= each.until;
-    });
+    std::erase_if(connections,
+                  [&](const idle_connection& each) { return !is_kept || now >= each.until; });
   }
   std::erase_if(idle_, [](const auto& item) { return item.second.empty(); });
 }
--- a/src/serving/upstream_call.h
+++ b/src/serving/upstream_call.h
@@ -53,7 +53,8 @@
   explicit connection_cache(const clock_source& clock) : clock_(clock) {}
 
   /// Returns an open connection that has been idle for at most `longest_idle`, or null.
-  std::unique_ptr<tcp_stream> Take(upstream_handle upstream, std::chrono::milliseconds longest_idle);
+  std::unique_ptr<tcp_stream> Take(upstream_handle upstream,
+                                   std::chrono::milliseconds longest_idle);
   /// Keeps a connection for `life` at most.
   void Put(upstream_handle upstream,
            std::unique_ptr<tcp_stream> stream,
@@ -84,11 +85,11 @@
   header_fields headers;     ///< As sent; framing is added.
   std::string attempt_id;    ///< Expected in the answer; empty when the request has none.
   bool is_head_method = false;
-  bool has_body = false;                      ///< Otherwise no framing fields are sent.
-  std::optional<std::uint64_t> body_length;   ///< Empty for a chunked body.
+  bool has_body = false;                     ///< Otherwise no framing fields are sent.
+  std::optional<std::uint64_t> body_length;  ///< Empty for a chunked body.
   std::chrono::milliseconds connect_timeout{};
-  std::chrono::milliseconds longest_idle{};   ///< Of a connection that is used again.
-  bool must_be_signed = true;                 ///< A success without signature is broken.
+  std::chrono::milliseconds longest_idle{};  ///< Of a connection that is used again.
+  bool must_be_signed = true;                ///< A success without signature is broken.
 };
 
 /// Lives on the thread of its event loop.
@@ -98,7 +99,8 @@
     std::function<void()> on_sent;  ///< The connection stands and the head has been written.
     std::function<void(const answer_head&)> on_head;
     std::function<void(std::string_view)> on_body;
-    std::function<void(call_result, const std::string& detail)> on_end;  ///< Once, unless cancelled.
+    std::function<void(call_result, const std::string& detail)>
+        on_end;                        ///< Once, unless cancelled.
     std::function<void()> on_drained;  ///< More of the body may be given.
   };
 
--- a/src/wire/rpc.h
+++ b/src/wire/rpc.h
@@ -108,9 +108,9 @@
 };
 
 /// Calls one process. Connects on the first call and again after a loss, with a back-off of 50 ms
-/// to 1 s; calls made while there is no connection wait for it until their timeout. A call that ends
-/// in a timeout while nothing at all arrived drops the connection, which may have gone silent. Thread safe;
-/// callbacks run on the thread of `loop`, which must outlive the channel.
+/// to 1 s; calls made while there is no connection wait for it until their timeout. A call that
+/// ends in a timeout while nothing at all arrived drops the connection, which may have gone silent.
+/// Thread safe; callbacks run on the thread of `loop`, which must outlive the channel.
 class rpc_channel {
  public:
   /// `peer_name` is the VM name that the certificate of the peer must carry.
--- a/src/wire/rpc_channel.cpp
+++ b/src/wire/rpc_channel.cpp
@@ -94,8 +94,8 @@
     }
     const bool is_submitted = std::any_of(call_of_stream.begin(), call_of_stream.end(),
                                           [id](const auto& item) { return item.second == id; });
-    const bool is_silent = is_submitted && session &&
-                           session->ReceivedBytes() == found->second.received_before;
+    const bool is_silent =
+        is_submitted && session && session->ReceivedBytes() == found->second.received_before;
     Finish(id, rpc_failure{error_kind::kTimeout, "no answer from " + peer + " in time", {}});
     if (is_silent) {
       Drop("silent");
--- /dev/null
+++ b/tests/support/serving_fixture.cpp
@@ -0,0 +1,308 @@
+#include "support/serving_fixture.h"
+
+#include "platform/header_names.h"
+#include "platform/policy_text.h"
+#include "support/test_fleet_keys.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <stdexcept>
+#include <thread>
+
+namespace corianderhoist {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kPause(5);
+constexpr std::chrono::seconds kLongestWait(10);
+
+const std::string kDocument = R"({"version":"r1",
+  "routes":{
+    "safe":{"host":"shop.example","path_prefix":"/safe/","kind":"safe","timeout_ms":1500,
+            "goal_ms":600,"priority":1,"service":"reads","attempts":2},
+    "once":{"host":"shop.example","path_prefix":"/once/","kind":"unsafe","timeout_ms":1500,
+            "goal_ms":600,"priority":1,"service":"orders","attempts":2},
+    "open":{"host":"shop.example","path_prefix":"/open/","kind":"safe","timeout_ms":1500,
+            "goal_ms":600,"priority":1,"service":"reads","attempts":2,"public":true}},
+  "services":{"reads":{"health_path":"/health"},"orders":{"health_path":"/health"}},
+  "limits":{"max_header_bytes":4096,"max_body_bytes":4000000,"header_timeout_ms":500,
+            "idle_timeout_ms":2000},
+  "tenants":{"workspace-a":{"api_keys":["key-a"],"priority":1,"rate_per_s":0,"burst":0}}})";
+
+}  // namespace
+
+// ---- fixed_core ----
+
+fixed_core::fixed_core(std::string document, std::uint64_t version) {
+  SetPolicy(std::move(document), version);
+  state_.index = 1;
+  server_.Handle<watch_request, watch_reply>(
+      "fleet.watch", {},
+      [this](const rpc_context&, const watch_request& request, rpc_callback<watch_reply> respond) {
+        Answer(request, respond);
+      });
+  server_.Handle<report_request, done_reply>(
+      "fleet.report", {},
+      [this](const rpc_context&, const report_request& request, rpc_callback<done_reply> respond) {
+        const std::lock_guard guard(lock_);
+        for (const outcome_note& note : request.seen.outcomes) {
+          seen_.outcomes.push_back(note);
+        }
+        for (const crash_note& note : request.seen.crashes) {
+          seen_.crashes.push_back(note);
+        }
+        MergeCounts(seen_.workspaces, request.seen.workspaces);
+        MergeCounts(seen_.services, request.seen.services);
+        respond(done_reply{});
+      });
+  address_ = {"127.0.0.1", Expect([&] { return server_.Listen({"127.0.0.1", 0}); })};
+}
+
+fixed_core::~fixed_core() {
+  server_.Close();
+}
+
+void fixed_core::Answer(const watch_request& request, const rpc_callback<watch_reply>& respond) {
+  if (is_silent_) {
+    return;
+  }
+  // Held for a moment, so that the VM does not ask all the time.
+  loop_.After(std::min(request.hold, milliseconds(50)), [this, request, respond] {
+    const std::lock_guard guard(lock_);
+    watch_reply reply;
+    reply.core_life = 1;
+    reply.held = std::min(request.hold, milliseconds(50));
+    reply.changes.index = state_.index;
+    reply.changes.is_whole_roster = request.roster_index == 0;
+    if (request.policy_version < state_.policy.version) {
+      reply.changes.policy = state_.policy;
+    }
+    for (const upstream_entry& entry : state_.upstreams) {
+      if (entry.changed_index > request.roster_index) {
+        reply.changes.upstreams.push_back(entry);
+      }
+    }
+    reply.limits_revision = limits_revision_;
+    if (request.limits_revision < limits_revision_) {
+      reply.limits = {limits_};
+    }
+    respond(std::move(reply));
+  });
+}
+
+void fixed_core::SetPolicy(std::string document, std::uint64_t version) {
+  const std::lock_guard guard(lock_);
+  state_.policy = {version, PackText(document)};
+  ++state_.index;
+}
+
+void fixed_core::AddUpstream(const std::string& id,
+                             const std::string& service,
+                             std::uint16_t port) {
+  const std::lock_guard guard(lock_);
+  upstream_entry entry;
+  entry.handle = static_cast<upstream_handle>(state_.upstreams.size() + 1);
+  entry.id = id;
+  entry.address = "127.0.0.1:" + std::to_string(port);
+  entry.service = service;
+  entry.data_centre = "dc1";
+  entry.slots = 4;
+  entry.changed_index = ++state_.index;
+  state_.upstreams.push_back(entry);
+}
+
+void fixed_core::Drain(const std::string& id) {
+  const std::lock_guard guard(lock_);
+  for (upstream_entry& entry : state_.upstreams) {
+    if (entry.id == id) {
+      entry.state = upstream_state::kDraining;
+      entry.changed_index = ++state_.index;
+    }
+  }
+}
+
+void fixed_core::SetLimits(shared_limits limits) {
+  const std::lock_guard guard(lock_);
+  limits_ = std::move(limits);
+  ++limits_revision_;
+}
+
+observations fixed_core::Seen() const {
+  const std::lock_guard guard(lock_);
+  return seen_;
+}
+
+// ---- test_caller ----
+
+std::string caller_answer::Header(const std::string& name) const {
+  const std::size_t at = head.find("\r\n" + name + ": ");
+  if (at == std::string::npos) {
+    return {};
+  }
+  const std::size_t begin = at + name.size() + 4;
+  return head.substr(begin, head.find("\r\n", begin) - begin);
+}
+
+test_caller::test_caller(std::uint16_t port) {
+  descriptor_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(port);
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  if (::connect(descriptor_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
+    throw std::runtime_error("cannot connect");
+  }
+}
+
+test_caller::~test_caller() {
+  ::close(descriptor_);
+}
+
+void test_caller::Send(const std::string& bytes) {
+  ::send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+}
+
+bool test_caller::ReadMore(std::chrono::steady_clock::time_point end) {
+  const auto left = std::chrono::ceil<milliseconds>(end - std::chrono::steady_clock::now()).count();
+  pollfd readable{descriptor_, POLLIN, 0};
+  if (left <= 0 || ::poll(&readable, 1, static_cast<int>(left)) <= 0) {
+    return false;
+  }
+  std::array<char, 65536> block{};
+  const ssize_t count = ::recv(descriptor_, block.data(), block.size(), 0);
+  if (count <= 0) {
+    return false;
+  }
+  buffer_.append(block.data(), static_cast<std::size_t>(count));
+  return true;
+}
+
+caller_answer test_caller::Receive(milliseconds patience) {
+  const auto start = std::chrono::steady_clock::now();
+  const auto end = start + patience;
+  caller_answer answer;
+  const auto finish = [&] {
+    answer.taken =
+        std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - start);
+    return answer;
+  };
+  std::size_t head_end = 0;
+  while ((head_end = buffer_.find("\r\n\r\n")) == std::string::npos) {
+    if (!ReadMore(end)) {
+      return finish();
+    }
+  }
+  answer.head = buffer_.substr(0, head_end + 4);
+  buffer_.erase(0, head_end + 4);
+  if (answer.head.find("Transfer-Encoding: chunked") != std::string::npos) {
+    while (true) {
+      std::size_t line = 0;
+      while ((line = buffer_.find("\r\n")) == std::string::npos) {
+        if (!ReadMore(end)) {
+          return finish();
+        }
+      }
+      const std::size_t size = std::stoul(buffer_.substr(0, line), nullptr, 16);
+      while (buffer_.size() < line + 2 + size + 2) {
+        if (!ReadMore(end)) {
+          return finish();
+        }
+      }
+      answer.body += buffer_.substr(line + 2, size);
+      buffer_.erase(0, line + 2 + size + 2);
+      if (size == 0) {
+        break;
+      }
+    }
+  } else {
+    const std::string length = answer.Header("Content-Length");
+    const std::size_t size = length.empty() ? 0 : std::stoul(length);
+    while (buffer_.size() < size) {
+      if (!ReadMore(end)) {
+        return finish();
+      }
+    }
+    answer.body = buffer_.substr(0, size);
+    buffer_.erase(0, size);
+  }
+  answer.status = std::stoi(answer.head.substr(9, 3));
+  return finish();
+}
+
+bool test_caller::IsClosed(milliseconds patience) {
+  const auto end = std::chrono::steady_clock::now() + patience;
+  while (std::chrono::steady_clock::now() < end) {
+    pollfd readable{descriptor_, POLLIN, 0};
+    if (::poll(&readable, 1, static_cast<int>(kPause.count())) <= 0) {
+      continue;
+    }
+    std::array<char, 4096> block{};
+    if (::recv(descriptor_, block.data(), block.size(), 0) <= 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::string caller_request::Bytes() const {
+  std::string text = method + " " + path +
+                     " HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: " + id +
+                     "\r\nX-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\n";
+  if (!key.empty()) {
+    text += "X-Key: " + key + "\r\n";
+  }
+  text += more_headers;
+  if (!body.empty() || method == "POST") {
+    text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  }
+  return text + "\r\n" + body;
+}
+
+// ---- serving_fixture ----
+
+serving_fixture::serving_fixture() : core_(std::make_unique<fixed_core>(kDocument, 1)) {}
+
+scripted_upstream& serving_fixture::Add(
+    const std::string& id,
+    const std::string& service,
+    std::function<scripted_answer(const scripted_request&)> script) {
+  upstreams_.push_back(std::make_unique<scripted_upstream>(std::move(script)));
+  core_->AddUpstream(id, service, upstreams_.back()->Port());
+  return *upstreams_.back();
+}
+
+void serving_fixture::Start() {
+  serving_vm_settings settings;
+  settings.listen = {"127.0.0.1", 0};
+  settings.link = {"vm1", {core_->Address()}};
+  settings.serving.vm = "vm1";
+  settings.serving.place = {"dc1", "region1", {{"dc1", "region1"}}};
+  settings.serving.callers = platform::CallerNames();
+  settings.serving.upstreams = platform::UpstreamNames();
+  settings.serving.repeats = {0.2, milliseconds(10'000), 1000};
+  settings.drain_delay = milliseconds(200);
+  settings.drain_deadline = milliseconds(3000);
+  vm_ = std::make_unique<serving_vm>(settings, platform::DecodePolicy, SystemClock());
+  port_ = Expect([this] { return vm_->Start(); });
+  const auto end = std::chrono::steady_clock::now() + kLongestWait;
+  while (!vm_->IsReady()) {
+    if (std::chrono::steady_clock::now() > end) {
+      throw std::runtime_error("the VM did not become ready");
+    }
+    std::this_thread::sleep_for(kPause);
+  }
+}
+
+caller_answer serving_fixture::Ask(const caller_request& request) {
+  test_caller caller(port_);
+  caller.Send(request.Bytes());
+  return caller.Receive();
+}
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/tests/support/serving_fixture.h
@@ -0,0 +1,114 @@
+/// An entry VM under a lease, with upstreams of the test and a fleet state that the test sets.
+#pragma once
+
+#include "base/clock.h"
+#include "serving/serving_vm.h"
+#include "support/scripted_upstream.h"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace corianderhoist {
+
+/// A core VM that hands out what the test has set, without a group behind it.
+class fixed_core {
+ public:
+  /// `document` is a policy in the platform's form.
+  fixed_core(std::string document, std::uint64_t version);
+  ~fixed_core();
+
+  const endpoint& Address() const { return address_; }
+  /// Adds an upstream that is ready.
+  void AddUpstream(const std::string& id, const std::string& service, std::uint16_t port);
+  /// Marks an upstream as leaving.
+  void Drain(const std::string& id);
+  void SetLimits(shared_limits limits);
+  void SetPolicy(std::string document, std::uint64_t version);
+  /// Stops or resumes to answer.
+  void SetSilent(bool is_silent) { is_silent_ = is_silent; }
+  observations Seen() const;
+
+ private:
+  void Answer(const watch_request& request, const rpc_callback<watch_reply>& respond);
+
+  mutable std::mutex lock_;
+  fleet_changes state_;
+  shared_limits limits_;
+  std::uint64_t limits_revision_ = 1;
+  observations seen_;
+  std::atomic<bool> is_silent_ = false;
+  endpoint address_;
+  io_loop loop_{"fixed core"};
+  rpc_server server_{nullptr, 1};
+};
+
+/// The answer to a caller.
+struct caller_answer {
+  int status = 0;  ///< 0: the connection ended without a whole answer.
+  std::string head;
+  std::string body;
+  std::chrono::milliseconds taken{};
+
+  std::string Header(const std::string& name) const;
+};
+
+/// A caller's connection with blocking reads.
+class test_caller {
+ public:
+  explicit test_caller(std::uint16_t port);
+  ~test_caller();
+  test_caller(const test_caller&) = delete;
+  test_caller& operator=(const test_caller&) = delete;
+
+  void Send(const std::string& bytes);
+  /// Reads one answer; waits for `patience` at most.
+  caller_answer Receive(std::chrono::milliseconds patience = std::chrono::seconds(5));
+  /// Whether the connection is closed by the other side within `patience`.
+  bool IsClosed(std::chrono::milliseconds patience);
+
+ private:
+  bool ReadMore(std::chrono::steady_clock::time_point end);
+
+  int descriptor_ = -1;
+  std::string buffer_;
+};
+
+/// "GET /safe/1" or the like, with host, id, deadline and key.
+struct caller_request {
+  std::string method = "GET";
+  std::string path = "/safe/1";
+  std::string id = "id1";
+  std::string key = "key-a";
+  int deadline_ms = 3000;
+  std::string more_headers;
+  std::string body;
+
+  std::string Bytes() const;
+};
+
+class serving_fixture {
+ public:
+  serving_fixture();
+
+  /// Adds an upstream of the service with a script.
+  scripted_upstream& Add(const std::string& id,
+                         const std::string& service,
+                         std::function<scripted_answer(const scripted_request&)> script);
+  /// Starts the VM and waits until it knows all that was added.
+  void Start();
+  caller_answer Ask(const caller_request& request);
+  std::uint16_t Port() const { return port_; }
+  fixed_core& Core() { return *core_; }
+  serving_vm& Vm() { return *vm_; }
+
+ private:
+  std::unique_ptr<fixed_core> core_;
+  std::vector<std::unique_ptr<scripted_upstream>> upstreams_;
+  std::unique_ptr<serving_vm> vm_;
+  std::uint16_t port_ = 0;
+};
+
+}  // namespace corianderhoist
--- /dev/null
+++ b/tests/unit/fleet/health_filter_test.cpp
@@ -0,0 +1,181 @@
+// Judgement of upstreams from outcomes: failing ones are found after one or two failures, sound
+// ones survive a single failure, and nothing current is believed for long.
+#include "fleet/health_filter.h"
+#include "fleet/evidence_pool.h"
+#include "fleet/load_table.h"
+#include "support/test_table.h"
+
+namespace corianderhoist {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr auto kGood = attempt_evidence::kGood;
+constexpr auto kFailed = attempt_evidence::kFailed;
+constexpr auto kUnheard = attempt_evidence::kUnheard;
+
+struct filter_case {
+  std::string name;
+  std::vector<attempt_evidence> outcomes;  ///< 100 ms apart.
+  milliseconds silence;                    ///< After the last one.
+  double least;                            ///< Probability of failing.
+  double most;
+};
+
+const test_table kFilter(
+    "health filter",
+    std::vector<filter_case>{
+        {"nothing is known", {}, milliseconds(0), 0.15, 0.25},
+        {"one failure of an unknown upstream", {kFailed}, milliseconds(0), 0.9, 1},
+        {"no answer of an unknown upstream", {kUnheard}, milliseconds(0), 0.9, 1},
+        {"one success", {kGood}, milliseconds(0), 0, 0.1},
+        {"five successes", {kGood, kGood, kGood, kGood, kGood}, milliseconds(0), 0, 0.03},
+        {"a failure after many successes",
+         {kGood, kGood, kGood, kGood, kGood, kGood, kFailed},
+         milliseconds(0),
+         0.2,
+         0.9},
+        {"a second failure at once",
+         {kGood, kGood, kGood, kGood, kGood, kGood, kFailed, kFailed},
+         milliseconds(0),
+         0.95,
+         1},
+        {"a success outweighs one failure",
+         {kGood, kGood, kGood, kGood, kFailed, kGood, kGood},
+         milliseconds(0),
+         0,
+         0.3},
+        {"a failure is forgotten in time", {kFailed}, milliseconds(20'000), 0.15, 0.25},
+        {"and so are successes",
+         {kGood, kGood, kGood, kGood, kGood},
+         milliseconds(20'000),
+         0.15,
+         0.25},
+    },
+    std::function([](const filter_case& row) {
+      manual_clock clock;
+      health_filter filter(clock.Now());
+      for (const attempt_evidence outcome : row.outcomes) {
+        clock.Advance(milliseconds(100));
+        filter.Observe(outcome, clock.Now());
+      }
+      clock.Advance(row.silence);
+      const double failing = filter.FailingAt(clock.Now());
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(failing), failing >= row.least && failing <= row.most);
+    }));
+
+upstream_condition ConditionOf(evidence_pool& pool, upstream_handle upstream, steady_time now) {
+  pool.Refresh(now);
+  for (const upstream_condition& condition : pool.ChangedSince(0)) {
+    if (condition.upstream == upstream) {
+      return condition;
+    }
+  }
+  return {};
+}
+
+const test_table kSilent("evidence pool",
+                         "an upstream that still answers requests is not silent",
+                         [] {
+                           manual_clock clock;
+                           evidence_pool pool(milliseconds(1500), clock.Now());
+                           pool.Hear(1, clock.Now());
+                           pool.Hear(2, clock.Now());
+                           clock.Advance(milliseconds(5000));
+                           pool.Observe({2, kGood, 30}, clock.Now());
+                           CPPUNIT_ASSERT(ConditionOf(pool, 1, clock.Now()).is_silent);
+                           CPPUNIT_ASSERT(!ConditionOf(pool, 2, clock.Now()).is_silent);
+                           CPPUNIT_ASSERT(pool.SilentFor(milliseconds(4000), clock.Now()) ==
+                                          std::vector<upstream_handle>{1});
+                         });
+
+struct trial_case {
+  std::string name;
+  milliseconds unused;
+  bool is_struggling;
+  std::uint32_t running;
+  upstream_trial expected;
+};
+
+const test_table kTrials(
+    "trial of an idle upstream",
+    std::vector<trial_case>{
+        {"in use a moment ago", milliseconds(500), true, 0, upstream_trial::kNone},
+        {"idle, service well", milliseconds(2000), false, 0, upstream_trial::kNone},
+        {"idle, service struggling", milliseconds(1500), true, 0, upstream_trial::kForAny},
+        {"long idle", milliseconds(3500), false, 0, upstream_trial::kForRepeatable},
+        {"at work", milliseconds(3500), true, 1, upstream_trial::kNone},
+    },
+    std::function([](const trial_case& row) {
+      manual_clock clock;
+      evidence_pool pool(milliseconds(1500), clock.Now());
+      pool.Observe({1, kGood, 30}, clock.Now());
+      pool.SetRunning(1, row.running, clock.Now());
+      clock.Advance(row.unused);
+      pool.PlanTrials({1}, row.is_struggling, clock.Now());
+      CPPUNIT_ASSERT(ConditionOf(pool, 1, clock.Now()).trial == row.expected);
+    }));
+
+const test_table kRevisions("evidence pool", "only changed conditions get a new revision", [] {
+  manual_clock clock;
+  evidence_pool pool(milliseconds(1500), clock.Now());
+  pool.Observe({1, kGood, 30}, clock.Now());
+  pool.Observe({2, kGood, 30}, clock.Now());
+  CPPUNIT_ASSERT(pool.Refresh(clock.Now()));
+  const std::uint64_t seen = pool.Revision();
+  CPPUNIT_ASSERT(!pool.Refresh(clock.Now()));
+  pool.Observe({2, kFailed, 0}, clock.Now());
+  CPPUNIT_ASSERT(pool.Refresh(clock.Now()));
+  const auto changed = pool.ChangedSince(seen);
+  CPPUNIT_ASSERT(changed.size() == 1 && changed[0].upstream == 2);
+});
+
+struct crash_case {
+  std::string name;
+  std::vector<crash_note> notes;
+  bool is_blocked;
+};
+
+const test_table kCrashes(
+    "crash book",
+    std::vector<crash_case>{
+        {"one crash", {{7, 1, false}}, false},
+        {"the same upstream twice", {{7, 1, false}, {7, 1, false}}, false},
+        {"two upstreams", {{7, 1, false}, {7, 2, false}}, true},
+        {"two upstreams, and it ran well once",
+         {{7, 1, false}, {7, 2, false}, {7, 3, true}},
+         false},
+        {"two requests, one upstream each", {{7, 1, false}, {8, 2, false}}, false},
+    },
+    std::function([](const crash_case& row) {
+      manual_clock clock;
+      crash_book book;
+      for (const crash_note& note : row.notes) {
+        book.Note(note, clock.Now());
+      }
+      CPPUNIT_ASSERT_EQUAL(row.is_blocked, !book.Blocked(clock.Now()).empty());
+      clock.Advance(std::chrono::minutes(2));
+      CPPUNIT_ASSERT_MESSAGE("a block lapses", book.Blocked(clock.Now()).empty());
+    }));
+
+const test_table
+    kLoads("load table", "numbers replace each other and lapse with their reporter", [] {
+      manual_clock clock;
+      load_table table;
+      CPPUNIT_ASSERT(table.Take("vm1", {{1, 2}, {2, 1}}, clock.Now()).size() == 2);
+      table.Take("vm2", {{1, 3}}, clock.Now());
+      CPPUNIT_ASSERT_EQUAL(5U, table.Sum(1));
+      CPPUNIT_ASSERT(table.Take("vm1", {{1, 2}}, clock.Now()).empty());
+      table.Take("vm1", {{1, 0}}, clock.Now());
+      CPPUNIT_ASSERT_EQUAL(3U, table.Sum(1));
+      clock.Advance(milliseconds(2000));
+      table.Touch("vm2", clock.Now());
+      clock.Advance(milliseconds(2000));
+      CPPUNIT_ASSERT(table.Expire(milliseconds(3000), clock.Now()) ==
+                     std::vector<upstream_handle>{2});
+      CPPUNIT_ASSERT_EQUAL(3U, table.Sum(1));
+      CPPUNIT_ASSERT_EQUAL(0U, table.Sum(2));
+    });
+
+}  // namespace
+}  // namespace corianderhoist
--- /dev/null
+++ b/tests/unit/fleet/usage_ledger_test.cpp
@@ -0,0 +1,219 @@
+// Rates and budgets over all VMs: a hot workspace is held near its rate in every window, one within
+// its rate is not refused, and repeats stay within their budget.
+#include "fleet/usage_ledger.h"
+#include "serving/repeat_budget.h"
+#include "support/test_table.h"
+
+#include <cmath>
+#include <deque>
+
+namespace corianderhoist {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr rate_tolerance kTolerance{milliseconds(5000), 0.1, 20};
+
+const test_table
+    kSliding("sliding count", "old parts leave the window, late ones find their place", [] {
+      manual_clock clock;
+      sliding_count count;
+      count.Add(5, clock.Now());
+      clock.Advance(milliseconds(3000));
+      count.Add(7, clock.Now());
+      count.Add(2, clock.Now() - milliseconds(3000));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), count.Sum(milliseconds(1000), clock.Now()));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(14), count.Sum(milliseconds(5000), clock.Now()));
+      clock.Advance(milliseconds(20'000));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), count.Sum(milliseconds(10'000), clock.Now()));
+      count.Add(1, clock.Now() - milliseconds(30'000));
+      CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), count.Sum(milliseconds(10'000), clock.Now()));
+    });
+
+// One workspace, its demand seen by the ledger after `delay`, and the decision applied after the
+// same time: the control loop as it runs over the fleet.
+struct demand_case {
+  std::string name;
+  double usual;  ///< Requests a second before the step.
+  double hot;    ///< After the step.
+  workspace_rate limit;
+  milliseconds delay;
+  double most_refused;  ///< Share of what is owed that may be refused.
+};
+
+struct demand_result {
+  double most_in_window = 0;
+  double owed = 0;
+  double served = 0;
+};
+
+demand_result Play(const demand_case& row) {
+  constexpr milliseconds kStep(10);
+  manual_clock clock;
+  usage_ledger ledger;
+  std::deque<std::pair<steady_time, std::pair<int, int>>> counts;  // On their way to the ledger.
+  std::deque<std::pair<steady_time, double>> decisions;            // On their way to the VMs.
+  std::deque<steady_time> admitted;
+  demand_result found;
+  double share = 1;
+  double carried_demand = 0;
+  double carried_share = 0;
+  double bucket = static_cast<double>(row.limit.burst);
+  const steady_time start = clock.Now();
+  while (clock.Now() - start < std::chrono::seconds(20)) {
+    clock.Advance(kStep);
+    const steady_time now = clock.Now();
+    while (!decisions.empty() && decisions.front().first <= now) {
+      share = decisions.front().second;
+      decisions.pop_front();
+    }
+    const bool is_hot = now - start > std::chrono::seconds(6);
+    carried_demand += (is_hot ? row.hot : row.usual) * 0.01;
+    bucket = std::min(bucket + static_cast<double>(row.limit.rate_per_second) * 0.01,
+                      static_cast<double>(row.limit.burst));
+    int taken = 0;
+    int refused = 0;
+    for (; carried_demand >= 1; carried_demand -= 1) {
+      carried_share += share;
+      const bool is_owed = bucket >= 1;
+      bucket -= is_owed ? 1 : 0;
+      found.owed += is_owed ? 1 : 0;
+      if (carried_share >= 1) {
+        carried_share -= 1;
+        ++taken;
+        ++found.served;
+        admitted.push_back(now);
+      } else {
+        ++refused;
+      }
+    }
+    counts.push_back({now + row.delay, {taken, refused}});
+    while (!counts.empty() && counts.front().first <= now) {
+      ledger.CountWorkspace("w", static_cast<std::uint64_t>(counts.front().second.first),
+                            static_cast<std::uint64_t>(counts.front().second.second), now);
+      counts.pop_front();
+    }
+    decisions.emplace_back(now + row.delay, AdmittedShare(ledger.UsageOf("w", kTolerance, now),
+                                                          row.limit, kTolerance));
+    while (!admitted.empty() && now - admitted.front() >= kTolerance.window) {
+      admitted.pop_front();
+    }
+    found.most_in_window = std::max(found.most_in_window, static_cast<double>(admitted.size()));
+  }
+  return found;
+}
+
+const test_table kDemand(
+    "rate",
+    std::vector<demand_case>{
+        {"usual demand is never refused", 30, 30, {48, 48}, milliseconds(100), 0},
+        {"demand just below the rate", 30, 46, {48, 48}, milliseconds(100), 0.02},
+        {"eight times the usual", 20, 160, {32, 32}, milliseconds(100), 0.05},
+        {"eight times the usual, slow counts", 20, 160, {32, 32}, milliseconds(200), 0.05},
+        {"a large workspace at eight times", 44, 350, {70, 70}, milliseconds(100), 0.05},
+        {"a small workspace at eight times", 3, 24, {5, 5}, milliseconds(100), 0.1},
+        {"a limit far below the usual demand", 30, 30, {6, 6}, milliseconds(100), 0.05},
+    },
+    std::function([](const demand_case& row) {
+      const demand_result found = Play(row);
+      const double base = 5.0 * static_cast<double>(row.limit.rate_per_second) +
+                          static_cast<double>(row.limit.burst);
+      const double bound = base * (1 + kTolerance.excess) + kTolerance.slack;
+      CPPUNIT_ASSERT_MESSAGE(
+          std::to_string(found.most_in_window) + " in a window, allowed " + std::to_string(bound),
+          found.most_in_window <= bound);
+      CPPUNIT_ASSERT_MESSAGE(
+          std::to_string(found.served) + " served of " + std::to_string(found.owed) + " owed",
+          found.served >= found.owed * (1 - row.most_refused));
+    }));
+
+const test_table kNoLimit("rate", "a workspace without a rate is not limited", [] {
+  const workspace_usage heavy{{1e6, 1e6, 1e6, 1e6}, 1e6, 1e6};
+  CPPUNIT_ASSERT_EQUAL(1.0, AdmittedShare(heavy, {0, 0}, kTolerance));
+  CPPUNIT_ASSERT(!IsNearLimit(heavy, {0, 0}, kTolerance));
+});
+
+struct budget_case {
+  std::string name;
+  int vms;
+  double requests_per_second;  ///< Of the service, over all VMs.
+  double failing;              ///< Share of requests that want a repeat.
+};
+
+// Every VM repeats whatever it may; the fleet's count is 300 ms old.
+const test_table kBudget(
+    "repeat budget",
+    std::vector<budget_case>{
+        {"few failures", 32, 46, 0.05},
+        {"half of the requests fail", 32, 46, 0.5},
+        {"all requests fail, many VMs", 87, 200, 1},
+        {"all requests fail, little traffic", 32, 5, 1},
+        {"all requests fail, heavy traffic", 32, 200, 1},
+    },
+    std::function([](const budget_case& row) {
+      const repeat_bound bound{0.2, milliseconds(10'000), 56};
+      manual_clock clock;
+      std::vector<repeat_budget> budgets(static_cast<std::size_t>(row.vms),
+                                         repeat_budget(bound, clock));
+      usage_ledger ledger;
+      std::deque<std::pair<steady_time, std::pair<int, int>>> counts;
+      std::deque<std::pair<steady_time, std::pair<int, int>>> window;
+      double requests_in_window = 0;
+      double repeats_in_window = 0;
+      double carried = 0;
+      double carried_failures = 0;
+      std::size_t vm = 0;
+      const steady_time start = clock.Now();
+      while (clock.Now() - start < std::chrono::seconds(30)) {
+        clock.Advance(milliseconds(10));
+        const steady_time now = clock.Now();
+        const bool is_scarce = AreRepeatsScarce(ledger.UsageOf("s", bound, now), bound);
+        int requests = 0;
+        int repeats = 0;
+        for (carried += row.requests_per_second * 0.01; carried >= 1; carried -= 1) {
+          repeat_budget& own = budgets[vm++ % budgets.size()];
+          own.CountRequest("s");
+          ++requests;
+          carried_failures += row.failing;
+          if (carried_failures >= 1) {
+            carried_failures -= 1;
+            repeats += own.TryTake("s", is_scarce, static_cast<std::uint32_t>(row.vms)) ? 1 : 0;
+          }
+        }
+        counts.push_back({now + milliseconds(300), {requests, repeats}});
+        while (counts.front().first <= now) {
+          ledger.CountService("s", static_cast<std::uint64_t>(counts.front().second.first),
+                              static_cast<std::uint64_t>(counts.front().second.second), 0, now);
+          counts.pop_front();
+        }
+        window.push_back({now, {requests, repeats}});
+        requests_in_window += requests;
+        repeats_in_window += repeats;
+        while (now - window.front().first >= bound.window) {
+          requests_in_window -= window.front().second.first;
+          repeats_in_window -= window.front().second.second;
+          window.pop_front();
+        }
+        if (now - start < bound.window) {
+          continue;  // A window that is not over yet.
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(repeats_in_window) + " repeats for " +
+                                   std::to_string(requests_in_window),
+                               repeats_in_window <= bound.ratio * requests_in_window + bound.extra);
+      }
+      // While failures are few, every one is repeated.
+      if (row.failing <= 0.05) {
+        CPPUNIT_ASSERT(repeats_in_window >= requests_in_window * row.failing * 0.9);
+      }
+    }));
+
+const test_table kStruggling("service",
+                             "a tenth of failures is noticed, a few per cent are not",
+                             [] {
+                               CPPUNIT_ASSERT(IsStruggling({0, 0, 100, 9}));
+                               CPPUNIT_ASSERT(!IsStruggling({0, 0, 100, 5}));
+                               CPPUNIT_ASSERT(!IsStruggling({0, 0, 0, 0}));
+                             });
+
+}  // namespace
+}  // namespace corianderhoist
--- /dev/null
+++ b/tests/unit/serving/placement_test.cpp
@@ -0,0 +1,144 @@
+// The choice of an upstream, and the shares of a split route.
+#include "serving/placement.h"
+#include "serving/request_flow.h"
+#include "support/test_table.h"
+
+#include <map>
+
+namespace corianderhoist {
+namespace {
+
+placement_candidate Candidate(double failure, nearness distance = nearness::kSameDataCentre) {
+  placement_candidate candidate;
+  candidate.failure = failure;
+  candidate.pace = 0.25;
+  candidate.distance = distance;
+  candidate.slots = 4;
+  return candidate;
+}
+
+template <class Change>
+placement_candidate With(placement_candidate candidate, Change change) {
+  change(candidate);
+  return candidate;
+}
+
+struct choice_case {
+  std::string name;
+  std::vector<placement_candidate> candidates;
+  std::size_t chosen;
+  placement_costs costs{1, 0.03, 0.25};
+};
+
+const test_table kChoices(
+    "placement",
+    std::vector<choice_case>{
+        {"the near one", {Candidate(0.02, nearness::kOtherRegion), Candidate(0.02)}, 1},
+        {"a far one instead of a failing one",
+         {Candidate(0.7), Candidate(0.02, nearness::kOtherRegion)},
+         1},
+        {"a near unknown one instead of a far one",
+         {Candidate(0.15), Candidate(0.02, nearness::kOtherRegion)},
+         0},
+        {"another data centre instead of an unknown one",
+         {Candidate(0.15), Candidate(0.02, nearness::kSameRegion)},
+         1},
+        {"a failing one at home when the failure can be repeated",
+         {Candidate(0.2), Candidate(0.02, nearness::kOtherRegion)},
+         0,
+         {0.35, 0.03, 0.25}},
+        {"one with a free slot",
+         {With(Candidate(0.02), [](auto& c) { c.running = 7; }),
+          With(Candidate(0.02), [](auto& c) { c.running = 2; })},
+         1},
+        {"a free one elsewhere instead of a long queue",
+         {With(Candidate(0.02), [](auto& c) { c.running = 16; }),
+          Candidate(0.02, nearness::kOtherRegion)},
+         1},
+        {"the fast one",
+         {With(Candidate(0.02), [](auto& c) { c.pace = 1.5; }), Candidate(0.02)},
+         1},
+        {"a warm one instead of a cold one",
+         {With(Candidate(0.02), [](auto& c) { c.is_cold = true; }), Candidate(0.02)},
+         1},
+        {"one that still announces itself",
+         {With(Candidate(0.02), [](auto& c) { c.is_silent = true; }), Candidate(0.02)},
+         1},
+        {"a silent one instead of a failing one",
+         {With(Candidate(0.02), [](auto& c) { c.is_silent = true; }), Candidate(0.3)},
+         0},
+        {"one that is due goes first",
+         {Candidate(0.02), With(Candidate(0.6), [](auto& c) { c.is_due = true; })},
+         1},
+        {"the best of bad ones", {Candidate(0.7), Candidate(0.6)}, 1},
+    },
+    std::function([](const choice_case& row) {
+      std::mt19937_64 random(1);
+      for (int i = 0; i < 50; ++i) {
+        const auto chosen = ChooseUpstream(row.candidates, row.costs, random);
+        CPPUNIT_ASSERT(chosen.has_value());
+        CPPUNIT_ASSERT_EQUAL(row.chosen, *chosen);
+      }
+    }));
+
+const test_table kNone("placement", "without a candidate there is no choice", [] {
+  std::mt19937_64 random(1);
+  CPPUNIT_ASSERT(!ChooseUpstream({}, {}, random));
+});
+
+const test_table kSpread("placement", "equal upstreams share the work by their slots", [] {
+  std::mt19937_64 random(1);
+  std::vector<placement_candidate> candidates(3, Candidate(0.02));
+  candidates[2].slots = 8;
+  std::map<std::size_t, int> counts;
+  for (int i = 0; i < 4000; ++i) {
+    ++counts[*ChooseUpstream(candidates, {}, random)];
+  }
+  CPPUNIT_ASSERT(counts[0] > 850 && counts[0] < 1150);
+  CPPUNIT_ASSERT(counts[2] > 1850 && counts[2] < 2150);
+});
+
+struct split_case {
+  std::string name;
+  std::vector<std::uint32_t> weights;
+};
+
+// The share of each part must be close to its weight even for the few requests of one VM.
+const test_table kSplit("split",
+                        std::vector<split_case>{
+                            {"one part", {1}},
+                            {"90 to 10", {90, 10}},
+                            {"half and half", {1, 1}},
+                            {"three parts", {50, 30, 20}},
+                        },
+                        std::function([](const split_case& row) {
+                          policy_route route;
+                          double total = 0;
+                          for (std::size_t i = 0; i < row.weights.size(); ++i) {
+                            route.parts.push_back({std::to_string(i), row.weights[i]});
+                            total += row.weights[i];
+                          }
+                          for (const double start : {0.0, 0.31, 0.77}) {
+                            std::map<std::string, int> counts;
+                            double position = start;
+                            constexpr int kRequests = 100;
+                            for (int i = 0; i < kRequests; ++i) {
+                              ++counts[ChoosePart(route, position).service];
+                            }
+                            for (const route_part& part : route.parts) {
+                              const double share = counts[part.service] / double(kRequests);
+                              CPPUNIT_ASSERT_DOUBLES_EQUAL(part.weight / total, share, 0.03);
+                            }
+                          }
+                        }));
+
+const test_table kDistance("place", "distance follows data centres and regions", [] {
+  const vm_place place{"a1", "a", {{"a1", "a"}, {"a2", "a"}, {"b1", "b"}}};
+  CPPUNIT_ASSERT(place.DistanceTo("a1") == nearness::kSameDataCentre);
+  CPPUNIT_ASSERT(place.DistanceTo("a2") == nearness::kSameRegion);
+  CPPUNIT_ASSERT(place.DistanceTo("b1") == nearness::kOtherRegion);
+  CPPUNIT_ASSERT_MESSAGE("unknown", place.DistanceTo("x") == nearness::kOtherRegion);
+});
+
+}  // namespace
+}  // namespace corianderhoist
--- /dev/null
+++ b/tests/unit/serving/request_flow_test.cpp
@@ -0,0 +1,472 @@
+// A request at one entry VM against upstreams that misbehave byte for byte: what the caller gets,
+// and how often the request was handed to an upstream.
+#include "support/serving_fixture.h"
+#include "support/test_table.h"
+
+#include <thread>
+
+namespace corianderhoist {
+namespace {
+
+using std::chrono::milliseconds;
+
+using script = std::function<scripted_answer(const scripted_request&)>;
+
+script Good(const std::string& body = "ok") {
+  return [body](const scripted_request& request) {
+    return scripted_answer{SignedAnswer(request, 200, body)};
+  };
+}
+
+script Raw(const std::string& bytes, after_answer after = after_answer::kKeep) {
+  return [bytes, after](const scripted_request&) { return scripted_answer{bytes, after}; };
+}
+
+script Status(int status, const std::string& more = {}) {
+  return [status, more](const scripted_request& request) {
+    return scripted_answer{SignedAnswer(request, status, "no", more)};
+  };
+}
+
+const script kHangs = Raw("", after_answer::kHang);
+const script kCloses = Raw("", after_answer::kClose);
+const script kResets = Raw("", after_answer::kReset);
+const script kSheds = Raw("HTTP/1.1 503 Full\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+const script kOtherInstance =
+    Raw("HTTP/1.1 421 Misdirected\r\nX-Backend-Id: z\r\nContent-Length: 0\r\n\r\n");
+const script kCutBody = [](const scripted_request& request) {
+  return scripted_answer{"HTTP/1.1 200 OK\r\nX-Attempt-Id: " + request.Header("X-Attempt-Id") +
+                             "\r\nX-Signature: s\r\nContent-Length: 100\r\n\r\nhalf",
+                         after_answer::kClose};
+};
+const script kUnsigned = Raw("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+const script kEncoded = Status(200, "Content-Encoding: gzip\r\n");
+const script kNonsense = Raw("nonsense\r\n\r\n", after_answer::kClose);
+const script kWithoutLength = [](const scripted_request& request) {
+  return scripted_answer{"HTTP/1.1 200 OK\r\nX-Attempt-Id: " + request.Header("X-Attempt-Id") +
+                             "\r\nX-Signature: s\r\n\r\nwhole",
+                         after_answer::kClose};
+};
+const script kWithoutLengthReset = [](const scripted_request& request) {
+  return scripted_answer{kWithoutLength(request).bytes, after_answer::kReset, milliseconds(0)};
+};
+
+/// One upstream misbehaves; with `has_other` there is a sound one, which the caller's request may
+/// reach first.
+struct flow_case {
+  std::string name;
+  script bad;
+  bool is_idempotent;
+  bool has_other;
+  std::vector<int> statuses;  ///< Allowed.
+  std::size_t most_runs;      ///< At the bad upstream.
+};
+
+const test_table kFlows(
+    "request flow",
+    std::vector<flow_case>{
+        {"a good answer", Good(), false, false, {200}, 1},
+        {"an error of an order is passed on", Status(500), false, true, {200, 500}, 1},
+        {"an error of a read is repeated", Status(500), true, true, {200}, 1},
+        {"an error that nobody else can make good", Status(500), true, false, {500}, 1},
+        {"a client error is the upstream's answer", Status(404), true, true, {200, 404}, 1},
+        {"an order that is shed goes elsewhere", kSheds, false, true, {200}, 1},
+        {"an order that everyone sheds has not run", kSheds, false, false, {503}, 1},
+        {"another incarnation at the address", kOtherInstance, false, true, {200}, 1},
+        {"a closed connection may have run", kCloses, false, true, {200, 502}, 1},
+        {"a reset may have run", kResets, false, true, {200, 502}, 1},
+        {"a closed connection of a read is repeated", kCloses, true, true, {200}, 1},
+        {"no answer to an order", kHangs, false, false, {504}, 1},
+        {"no answer to a read is asked for elsewhere", kHangs, true, true, {200}, 1},
+        {"an answer that is cut", kCutBody, false, false, {502}, 1},
+        {"an answer that is cut is repeated", kCutBody, true, true, {200}, 1},
+        {"a success without a signature", kUnsigned, false, false, {502}, 1},
+        {"an encoded answer that was not asked for", kEncoded, false, false, {502}, 1},
+        {"no HTTP", kNonsense, false, false, {502}, 1},
+        {"an answer that the close ends", kWithoutLength, false, false, {200}, 1},
+        {"an answer without length that is reset", kWithoutLengthReset, false, false, {502}, 1},
+    },
+    std::function([](const flow_case& row) {
+      serving_fixture fixture;
+      const std::string service = row.is_idempotent ? "reads" : "orders";
+      scripted_upstream& bad = fixture.Add("bad", service, row.bad);
+      scripted_upstream* other = row.has_other ? &fixture.Add("other", service, Good()) : nullptr;
+      fixture.Start();
+      caller_request request;
+      request.path = row.is_idempotent ? "/safe/1" : "/once/1";
+      request.method = row.is_idempotent ? "GET" : "POST";
+      // With two upstreams, several requests make sure that the bad one is met.
+      for (int i = 0; i < (row.has_other ? 6 : 1); ++i) {
+        request.id = "id" + std::to_string(i);
+        const std::size_t before = bad.Requests().size();
+        const std::size_t others_before = other != nullptr ? other->Requests().size() : 0;
+        const caller_answer answer = fixture.Ask(request);
+        CPPUNIT_ASSERT_MESSAGE("status " + std::to_string(answer.status),
+                               std::find(row.statuses.begin(), row.statuses.end(), answer.status) !=
+                                   row.statuses.end());
+        CPPUNIT_ASSERT(bad.Requests().size() - before <= row.most_runs);
+        if (answer.status == 200 && row.name != "an answer that the close ends") {
+          CPPUNIT_ASSERT_EQUAL(std::string("ok"), answer.body);
+        }
+        if (answer.status == 502 || answer.status == 504) {
+          CPPUNIT_ASSERT_MESSAGE("run once and answered as unknown",
+                                 other == nullptr || other->Requests().size() == others_before);
+          CPPUNIT_ASSERT(answer.Header("Corianderhoist-Outcome") == "unknown");
+        }
+        if (answer.status == 503) {
+          CPPUNIT_ASSERT(answer.Header("Corianderhoist-Outcome") == "not_run");
+          CPPUNIT_ASSERT(!answer.Header("Retry-After").empty());
+        }
+      }
+    }));
+
+const test_table
+    kHeaders("request flow", "the upstream gets id, time left, workspace, not the key", [] {
+      serving_fixture fixture;
+      scripted_upstream& upstream = fixture.Add("u1", "reads", Good());
+      fixture.Start();
+      caller_request request;
+      request.more_headers =
+          "X-Tenant: someone-else\r\nX-Custom: kept\r\nConnection: X-Hop\r\nX-Hop: 1\r\n";
+      CPPUNIT_ASSERT_EQUAL(200, fixture.Ask(request).status);
+      const scripted_request got = upstream.Requests().at(0);
+      CPPUNIT_ASSERT(got.head.starts_with("GET /safe/1 HTTP/1.1\r\n"));
+      CPPUNIT_ASSERT_EQUAL(std::string("id1"), got.Header("X-Attempt-Id"));
+      CPPUNIT_ASSERT_EQUAL(std::string("u1"), got.Header("X-Expect-Instance"));
+      CPPUNIT_ASSERT_EQUAL(std::string("workspace-a"), got.Header("X-Tenant"));
+      CPPUNIT_ASSERT_EQUAL(std::string("kept"), got.Header("X-Custom"));
+      CPPUNIT_ASSERT(got.head.find("key-a") == std::string::npos);
+      CPPUNIT_ASSERT(got.head.find("someone-else") == std::string::npos);
+      CPPUNIT_ASSERT(got.head.find("X-Hop") == std::string::npos);
+      const int left = std::stoi(got.Header("X-Deadline-Ms"));
+      CPPUNIT_ASSERT_MESSAGE("the route's timeout is shorter than the caller's",
+                             left > 1300 && left <= 1500);
+    });
+
+struct refusal_case {
+  std::string name;
+  caller_request request;
+  int status;
+  bool is_kept;  ///< The connection stays open.
+};
+
+const test_table kRefusals(
+    "request refused",
+    std::vector<refusal_case>{
+        {"no route", {.path = "/nothing/"}, 404, true},
+        {"no key", {.key = ""}, 401, true},
+        {"an unknown key", {.key = "x"}, 401, true},
+        {"an open route needs no key", {.path = "/open/1", .key = ""}, 200, true},
+        {"a service without upstreams", {.method = "POST", .path = "/once/1"}, 503, true},
+        {"a header that is too large",
+         {.more_headers = "X-Large: " + std::string(5000, 'x') + "\r\n"},
+         431,
+         false},
+        {"a body that is too large",
+         {.method = "PUT", .path = "/once/1", .more_headers = "Content-Length: 99000000\r\n"},
+         413,
+         false},
+    },
+    std::function([](const refusal_case& row) {
+      serving_fixture fixture;
+      fixture.Add("u1", "reads", Good());
+      fixture.Start();
+      test_caller caller(fixture.Port());
+      caller.Send(row.request.Bytes());
+      const caller_answer answer = caller.Receive();
+      CPPUNIT_ASSERT_EQUAL(row.status, answer.status);
+      CPPUNIT_ASSERT_MESSAGE("refused at once", answer.taken < milliseconds(500));
+      if (row.is_kept) {
+        caller.Send(caller_request{}.Bytes());
+        CPPUNIT_ASSERT_EQUAL(200, caller.Receive().status);
+      } else {
+        CPPUNIT_ASSERT(caller.IsClosed(milliseconds(3000)));
+      }
+    }));
+
+const test_table kAhead("connection",
+                        "reads sent ahead run side by side and are answered in order",
+                        [] {
+                          serving_fixture fixture;
+                          fixture.Add("u1", "reads", [](const scripted_request& request) {
+                            // The first one takes longest.
+                            const bool is_first = request.Header("X-Attempt-Id") == "id0";
+                            return scripted_answer{
+                                SignedAnswer(request, 200, request.Header("X-Attempt-Id")),
+                                after_answer::kKeep, milliseconds(is_first ? 300 : 100)};
+                          });
+                          fixture.Start();
+                          test_caller caller(fixture.Port());
+                          std::string all;
+                          for (int i = 0; i < 4; ++i) {
+                            all += caller_request{.id = "id" + std::to_string(i)}.Bytes();
+                          }
+                          const auto start = std::chrono::steady_clock::now();
+                          caller.Send(all);
+                          for (int i = 0; i < 4; ++i) {
+                            CPPUNIT_ASSERT_EQUAL("id" + std::to_string(i), caller.Receive().body);
+                          }
+                          CPPUNIT_ASSERT(std::chrono::steady_clock::now() - start <
+                                         milliseconds(550));
+                        });
+
+const test_table
+    kOrdersAhead("connection", "an order sent ahead waits for the answers before it", [] {
+      serving_fixture fixture;
+      fixture.Add("u1", "reads", [](const scripted_request& request) {
+        return scripted_answer{SignedAnswer(request, 200, "read"), after_answer::kKeep,
+                               milliseconds(200)};
+      });
+      scripted_upstream& orders = fixture.Add("u2", "orders", Good("order"));
+      fixture.Start();
+      test_caller caller(fixture.Port());
+      caller.Send(caller_request{}.Bytes() +
+                  caller_request{.method = "POST", .path = "/once/1", .body = "b"}.Bytes());
+      std::this_thread::sleep_for(milliseconds(100));
+      CPPUNIT_ASSERT(orders.Requests().empty());
+      CPPUNIT_ASSERT_EQUAL(std::string("read"), caller.Receive().body);
+      CPPUNIT_ASSERT_EQUAL(std::string("order"), caller.Receive().body);
+      CPPUNIT_ASSERT_EQUAL(std::string("b"), orders.Requests().at(0).body);
+    });
+
+const test_table kLeaving("connection", "a caller that leaves ends the work of its upstream", [] {
+  serving_fixture fixture;
+  scripted_upstream& upstream = fixture.Add("u1", "reads", kHangs);
+  fixture.Start();
+  {
+    test_caller caller(fixture.Port());
+    caller.Send(caller_request{}.Bytes());
+    std::this_thread::sleep_for(milliseconds(100));
+  }
+  std::this_thread::sleep_for(milliseconds(300));
+  CPPUNIT_ASSERT_EQUAL(1, upstream.Abandoned());
+});
+
+struct body_case {
+  std::string name;
+  std::size_t size;
+  bool is_chunked;
+};
+
+const test_table kBodies(
+    "request body",
+    std::vector<body_case>{
+        {"empty", 0, false},
+        {"small", 300, false},
+        {"small in chunks", 300, true},
+        {"larger than what is held", 1'000'000, false},
+        {"larger than what is held, in chunks", 1'000'000, true},
+    },
+    std::function([](const body_case& row) {
+      serving_fixture fixture;
+      scripted_upstream& upstream = fixture.Add("u1", "orders", Good());
+      fixture.Start();
+      std::string body;
+      for (std::size_t i = 0; body.size() < row.size; ++i) {
+        body += std::to_string(i) + ",";
+      }
+      body.resize(row.size);
+      caller_request request{.method = "POST", .path = "/once/1", .body = body};
+      std::string bytes = request.Bytes();
+      if (row.is_chunked) {
+        request.body.clear();
+        request.method = "PUT";
+        request.more_headers = "Transfer-Encoding: chunked\r\n";
+        bytes = request.Bytes();
+        constexpr std::size_t kChunk = 7001;
+        for (std::size_t at = 0; at < body.size(); at += kChunk) {
+          const std::string part = body.substr(at, kChunk);
+          std::array<char, 16> size{};
+          std::snprintf(size.data(), size.size(), "%zx\r\n", part.size());
+          bytes += size.data() + part + "\r\n";
+        }
+        bytes += "0\r\n\r\n";
+      }
+      test_caller caller(fixture.Port());
+      std::thread sender([&] { caller.Send(bytes); });
+      const caller_answer answer = caller.Receive();
+      sender.join();
+      CPPUNIT_ASSERT_EQUAL(200, answer.status);
+      CPPUNIT_ASSERT_MESSAGE("body changed", upstream.Requests().at(0).body == body);
+      caller.Send(caller_request{.method = "POST", .path = "/once/2"}.Bytes());
+      CPPUNIT_ASSERT_MESSAGE("connection kept", caller.Receive().status == 200);
+    }));
+
+const test_table kLargeAnswer("answer", "a large answer is passed on as it arrives, whole", [] {
+  serving_fixture fixture;
+  std::string body(3'000'000, 'x');
+  body[1'234'567] = 'y';
+  fixture.Add("u1", "reads", Good(body));
+  fixture.Start();
+  const caller_answer answer = fixture.Ask({});
+  CPPUNIT_ASSERT_EQUAL(200, answer.status);
+  CPPUNIT_ASSERT(answer.body == body);
+});
+
+const test_table kCutLarge("answer", "a large answer that is cut does not look whole", [] {
+  serving_fixture fixture;
+  fixture.Add("u1", "reads", [](const scripted_request& request) {
+    std::string whole = SignedAnswer(request, 200, std::string(1'000'000, 'x'));
+    whole.resize(700'000);
+    return scripted_answer{whole, after_answer::kClose};
+  });
+  fixture.Start();
+  CPPUNIT_ASSERT_EQUAL(0, fixture.Ask({}).status);
+});
+
+const test_table kEarly("answer",
+                        "an answer before the whole body does not disturb the connection",
+                        [] {
+                          serving_fixture fixture;
+                          std::atomic<int> connections = 0;
+                          scripted_upstream& upstream = fixture.Add("u1", "orders", Good());
+                          fixture.Start();
+                          test_caller caller(fixture.Port());
+                          // The caller sends a part of its body and waits.
+                          caller_request request{
+                              .method = "POST", .path = "/once/1", .body = std::string(100, 'b')};
+                          const std::string bytes = request.Bytes();
+                          caller.Send(bytes.substr(0, bytes.size() - 50));
+                          CPPUNIT_ASSERT_MESSAGE("a request whose body is not whole is not run",
+                                                 caller.Receive(milliseconds(200)).status == 0);
+                          caller.Send(bytes.substr(bytes.size() - 50));
+                          CPPUNIT_ASSERT_EQUAL(200, caller.Receive().status);
+                          CPPUNIT_ASSERT_EQUAL(std::string(100, 'b'),
+                                               upstream.Requests().at(0).body);
+                        });
+
+const test_table kExpect("connection", "a caller that waits for 100 Continue gets it", [] {
+  serving_fixture fixture;
+  fixture.Add("u1", "orders", Good());
+  fixture.Start();
+  test_caller caller(fixture.Port());
+  caller_request request{.method = "POST",
+                         .path = "/once/1",
+                         .more_headers = "Expect: 100-continue\r\nContent-Length: 3\r\n"};
+  std::string head = request.Bytes();
+  head.replace(head.find("Content-Length: 0\r\n"), 19, "");
+  caller.Send(head);
+  CPPUNIT_ASSERT_EQUAL(100, caller.Receive().status);
+  caller.Send("abc");
+  CPPUNIT_ASSERT_EQUAL(200, caller.Receive().status);
+});
+
+const test_table
+    kForeign("answer", "a late answer to another request is not taken for this one's", [] {
+      serving_fixture fixture;
+      std::atomic<int> count = 0;
+      fixture.Add("u1", "reads", [&count](const scripted_request& request) {
+        std::string bytes;
+        if (++count == 2) {
+          bytes =
+              "HTTP/1.1 200 OK\r\nX-Attempt-Id: id0\r\nX-Signature: s\r\nContent-Length: "
+              "4\r\n\r\nlate";
+        }
+        return scripted_answer{bytes + SignedAnswer(request, 200, request.Header("X-Attempt-Id"))};
+      });
+      fixture.Start();
+      CPPUNIT_ASSERT_EQUAL(std::string("id0"), fixture.Ask({.id = "id0"}).body);
+      CPPUNIT_ASSERT_EQUAL(std::string("id1"), fixture.Ask({.id = "id1"}).body);
+    });
+
+const test_table
+    kExtra("answer", "a connection with bytes behind its answer is not used again", [] {
+      serving_fixture fixture;
+      scripted_upstream& upstream = fixture.Add("u1", "reads", [](const scripted_request& request) {
+        return scripted_answer{SignedAnswer(request, 200, request.Header("X-Attempt-Id")) +
+                               "HTTP/1.1 "};
+      });
+      fixture.Start();
+      CPPUNIT_ASSERT_EQUAL(std::string("id0"), fixture.Ask({.id = "id0"}).body);
+      CPPUNIT_ASSERT_EQUAL(std::string("id1"), fixture.Ask({.id = "id1"}).body);
+      CPPUNIT_ASSERT(upstream.Requests().at(0).connection != upstream.Requests().at(1).connection);
+    });
+
+const test_table kReuse("connection", "connections to an upstream are used again", [] {
+  serving_fixture fixture;
+  scripted_upstream& upstream = fixture.Add("u1", "reads", Good());
+  fixture.Start();
+  fixture.Ask({.id = "id0"});
+  fixture.Ask({.id = "id1"});
+  CPPUNIT_ASSERT_EQUAL(upstream.Requests().at(0).connection, upstream.Requests().at(1).connection);
+});
+
+const test_table kCrash("request flow", "a request that has ended upstreams is held back", [] {
+  serving_fixture fixture;
+  scripted_upstream& upstream = fixture.Add("u1", "reads", kCloses);
+  fixture.Start();
+  fixture.Ask({.path = "/safe/poison"});
+  std::this_thread::sleep_for(milliseconds(300));
+  const auto crashes = fixture.Core().Seen().crashes;
+  CPPUNIT_ASSERT(!crashes.empty());
+  shared_limits limits;
+  limits.blocked_requests = {crashes.front().fingerprint};
+  fixture.Core().SetLimits(limits);
+  std::this_thread::sleep_for(milliseconds(300));
+  const std::size_t before = upstream.Requests().size();
+  CPPUNIT_ASSERT_EQUAL(503, fixture.Ask({.path = "/safe/poison"}).status);
+  CPPUNIT_ASSERT_EQUAL(before, upstream.Requests().size());
+  CPPUNIT_ASSERT_MESSAGE("another request runs", fixture.Ask({.path = "/safe/2"}).status == 502);
+});
+
+const test_table kDrainUpstream("request flow", "an upstream that leaves gets nothing new", [] {
+  serving_fixture fixture;
+  scripted_upstream& leaving = fixture.Add("u1", "reads", Good());
+  fixture.Add("u2", "reads", Good());
+  fixture.Start();
+  fixture.Core().Drain("u1");
+  std::this_thread::sleep_for(milliseconds(500));
+  const std::size_t before = leaving.Requests().size();
+  for (int i = 0; i < 20; ++i) {
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Ask({.id = "id" + std::to_string(i)}).status);
+  }
+  CPPUNIT_ASSERT_EQUAL(before, leaving.Requests().size());
+});
+
+const test_table kStop("stop", "a VM that stops finishes what runs and asks callers to leave", [] {
+  serving_fixture fixture;
+  fixture.Add("u1", "reads", [](const scripted_request& request) {
+    return scripted_answer{SignedAnswer(request, 200, "ok"), after_answer::kKeep,
+                           milliseconds(600)};
+  });
+  fixture.Start();
+  test_caller running(fixture.Port());
+  running.Send(caller_request{}.Bytes());
+  test_caller idle(fixture.Port());
+  std::this_thread::sleep_for(milliseconds(100));
+  std::atomic<bool> has_stopped = false;
+  fixture.Vm().Drain([&] { has_stopped = true; });
+  const caller_answer answer = running.Receive();
+  CPPUNIT_ASSERT_EQUAL(200, answer.status);
+  CPPUNIT_ASSERT_EQUAL(std::string("close"), answer.Header("Connection"));
+  CPPUNIT_ASSERT(idle.IsClosed(milliseconds(2000)));
+  CPPUNIT_ASSERT(!fixture.Vm().IsReady());
+  for (int i = 0; i < 200 && !has_stopped; ++i) {
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  CPPUNIT_ASSERT(has_stopped);
+});
+
+const test_table kIsolated("permission",
+                           "without a core VM keyed requests end, open ones are served",
+                           [] {
+                             serving_fixture fixture;
+                             fixture.Add("u1", "reads", Good());
+                             fixture.Start();
+                             fixture.Core().SetSilent(true);
+                             std::this_thread::sleep_for(milliseconds(2500));
+                             CPPUNIT_ASSERT_MESSAGE("the lease still holds",
+                                                    fixture.Ask({}).status == 200);
+                             std::this_thread::sleep_for(milliseconds(2700));
+                             CPPUNIT_ASSERT_EQUAL(503, fixture.Ask({}).status);
+                             CPPUNIT_ASSERT_EQUAL(
+                                 200, fixture.Ask({.path = "/open/1", .key = ""}).status);
+                             fixture.Core().SetSilent(false);
+                             for (int i = 0; i < 300 && fixture.Ask({}).status != 200; ++i) {
+                               std::this_thread::sleep_for(milliseconds(10));
+                             }
+                             CPPUNIT_ASSERT_EQUAL(200, fixture.Ask({}).status);
+                           });
+
+}  // namespace
+}  // namespace corianderhoist
