--- a/tests/support/serving_fixture.h
+++ b/tests/support/serving_fixture.h
@@ -41,8 +41,8 @@
   observations seen_;
   std::atomic<bool> is_silent_ = false;
   endpoint address_;
-  io_loop loop_{"fixed core"};
   rpc_server server_{nullptr, 1};
+  io_loop loop_{"fixed core"};  ///< Ends before the server, which its tasks refer to.
 };
 
 /// The answer to a caller.
