--- a/src/fleet/health_filter.cpp
+++ b/src/fleet/health_filter.cpp
@@ -13,7 +13,7 @@
 constexpr double kSoundUnheard = 0.005;
 constexpr double kFailingUnheard = 0.3;
 // Mean time for which an upstream keeps failing. Sets how fast old evidence loses its weight.
-constexpr std::chrono::milliseconds kMeanFailingTime(4000);
+constexpr std::chrono::milliseconds kMeanFailingTime(10'000);
 // Keeps one run of outcomes from making the filter deaf to later ones.
 constexpr double kLowestFailing = 0.002;
 constexpr double kHighestFailing = 0.995;
--- a/src/fleet/health_filter.h
+++ b/src/fleet/health_filter.h
@@ -37,7 +37,7 @@
 
  public:
   /// Long-run share of failing upstreams.
-  static constexpr double kFailingShare = 0.2;
+  static constexpr double kFailingShare = 0.25;
 };
 
 }  // namespace corianderhoist
--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -279,7 +279,7 @@
       .Field("left_ms", std::int64_t(TimeLeft().count()))
       .Field("is_due", static_cast<int>(best.is_due))
       .Field("is_repeat", static_cast<int>(is_repeat));
-  StartAttempt(*upstreams[*chosen], is_repeat);
+  StartAttempt(*upstreams[*chosen], is_repeat, best.is_due);
   return true;
 }
 
@@ -321,11 +321,12 @@
   return plan;
 }
 
-void request_flow::StartAttempt(const known_upstream& upstream, bool is_repeat) {
+void request_flow::StartAttempt(const known_upstream& upstream, bool is_repeat, bool is_trial) {
   auto which = std::make_shared<attempt>();
   which->upstream = upstream.entry.handle;
   which->upstream_id = upstream.entry.id;
   which->started = context_.clock.Now();
+  has_tried_due_ = has_tried_due_ || is_trial;
   tried_.insert(which->upstream);
   attempts_.push_back(which);
   context_.book.Start(which->upstream);
@@ -589,9 +590,16 @@
 
 // ---- End ----
 
+// Trials of suspected upstreams do not count: they would keep their own cause alive.
+void request_flow::NoteFailure() {
+  if (!has_tried_due_) {
+    context_.link.NoteService(service_, fleet_link::service_event::kFailure);
+  }
+}
+
 void request_flow::Deliver(const answer_head& head, const std::string& body) {
   if (head.status >= kFirstServerError) {
-    context_.link.NoteService(service_, fleet_link::service_event::kFailure);
+    NoteFailure();
   }
   answer_head own = head;
   own.headers = WithoutHopByHop(head.headers);
@@ -628,7 +636,7 @@
 
 void request_flow::Refuse(error_kind kind, const std::string& detail) {
   if (has_begun_) {
-    context_.link.NoteService(service_, fleet_link::service_event::kFailure);
+    NoteFailure();
   }
   log_event(log_level::kInfo, "request_refused")
       .Field("request_id", request_.id)
--- a/src/serving/request_flow.h
+++ b/src/serving/request_flow.h
@@ -104,9 +104,10 @@
   void Begin();
   // Attempts.
   bool TryNext(bool is_repeat);
+  void NoteFailure();
   call_plan MakePlan(const known_upstream& upstream) const;
   header_fields MakeHeaders(const known_upstream& upstream) const;
-  void StartAttempt(const known_upstream& upstream, bool is_repeat);
+  void StartAttempt(const known_upstream& upstream, bool is_repeat, bool is_trial);
   void FeedBody();
   void OnAnswerHead(const attempt_ptr& which, const answer_head& head);
   void OnAnswerBody(const attempt_ptr& which, std::string_view part);
@@ -158,6 +159,7 @@
   std::string last_detail_;
   QTimer deadline_timer_;
   QTimer slow_timer_;
+  bool has_tried_due_ = false;  ///< An attempt was a trial.
   bool is_done_ = false;
 };
 
