--- a/src/fleet/usage_ledger.cpp
+++ b/src/fleet/usage_ledger.cpp
@@ -13,7 +13,10 @@
 // Seconds for which VMs go on as before: until a request is counted, and until the decision reaches
 // them.
 constexpr double kCountDelay = 0.3;
-constexpr double kToleranceUsed = 0.5;
+// Part of the bound that is kept free for counts that have not arrived: a share of the rate, and a
+// few requests for small workspaces.
+constexpr double kCountError = 0.07;
+constexpr double kLeastCountError = 2;  // Requests.
 // Below this share of the limit nothing is refused.
 constexpr double kFreeShare = 0.9;
 constexpr double kNearShare = 0.6;
@@ -28,7 +31,8 @@
   const double base = static_cast<double>(limit.rate_per_second) *
                           std::chrono::duration<double>(tolerance.window).count() +
                       static_cast<double>(limit.burst);
-  return base + kToleranceUsed * (base * tolerance.excess + tolerance.slack);
+  return std::max(base, base * (1 + tolerance.excess - kCountError) + tolerance.slack -
+                            kLeastCountError);
 }
 
 // Per second; the larger of a slow and a quick estimate.
--- a/src/fleet/usage_ledger.h
+++ b/src/fleet/usage_ledger.h
@@ -34,7 +34,7 @@
 
 /// How exactly a rate is kept. In any `window`, at most (rate x window + burst) x (1 + excess) +
 /// slack requests are admitted over all VMs. The tolerance exists because counts of other VMs are
-/// late; half of it is aimed at, so that few requests within the rate are refused.
+/// late; most of it is aimed at, so that few requests within the rate are refused.
 struct rate_tolerance {
   std::chrono::milliseconds window{5000};
   double excess = 0;
