--- a/src/fleet/fleet_core.cpp
+++ b/src/fleet/fleet_core.cpp
@@ -17,7 +17,7 @@
 
 constexpr milliseconds kTick(100);
 // Two heartbeats and a round trip between regions bring a follower's state up to date.
-constexpr milliseconds kHeartbeat(150);
+constexpr milliseconds kHeartbeat(250);
 constexpr milliseconds kElectionTimeout(700);
 constexpr milliseconds kNoticeBatch(8);
 constexpr milliseconds kJoinInterval(300);
--- a/src/fleet/fleet_core_share.cpp
+++ b/src/fleet/fleet_core_share.cpp
@@ -12,7 +12,7 @@
 // A failure goes to the region's other core VMs at once; loads and good outcomes may wait.
 constexpr milliseconds kUrgentDelay(8);
 constexpr milliseconds kLoadDelay(40);
-constexpr milliseconds kAcrossInterval(500);
+constexpr milliseconds kAcrossInterval(1000);
 // While a workspace is near its limit: its count must not be half a second old.
 constexpr milliseconds kAcrossIntervalNear(50);
 constexpr milliseconds kShareTimeout(500);
--- a/src/serving/fleet_link.cpp
+++ b/src/serving/fleet_link.cpp
@@ -116,29 +116,39 @@
     current_ = chosen;
     reported_.clear();
   }
-  watch_request request = view_.Known();
+  // The distance is measured by a call that brings no state: the whole state from a far core VM
+  // would cost bytes between regions at each start.
+  const bool is_measured = chosen->round_trip.count() != 0;
+  watch_request request = is_measured ? view_.Known() : MeasureRequest();
   request.vm = settings_.vm;
-  request.hold = chosen->round_trip.count() == 0 ? milliseconds(0) : kHold;
+  request.hold = is_measured ? kHold : milliseconds(0);
   const steady_time sent_at = clock_.Now();
-  const milliseconds patience = request.hold.count() == 0 ? kFirstPatience : kHold + kPatience;
+  const milliseconds patience = is_measured ? kHold + kPatience : kFirstPatience;
   ChannelOf(*chosen).Call<watch_reply>(
       "fleet.watch", request, patience,
-      [this, alive = is_alive_, chosen, sent_at](const rpc_result<watch_reply>& reply) {
-        if (*alive) {
-          OnReply(*chosen, reply, sent_at);
+      [this, alive = is_alive_, chosen, sent_at,
+       is_measured](const rpc_result<watch_reply>& reply) {
+        if (!*alive) {
+          return;
+        }
+        const auto* news = std::get_if<watch_reply>(&reply);
+        if (is_measured || news == nullptr) {
+          return OnReply(*chosen, reply, sent_at);
         }
+        Measure(*chosen, *news, sent_at);
+        AddCores(*news);
+        Watch();
       });
 }
 
-void fleet_link::OnReply(core& which, const rpc_result<watch_reply>& reply, steady_time sent_at) {
-  if (const auto* failure = std::get_if<rpc_failure>(&reply)) {
-    Shun(which, failure->detail);
-    Watch();
-    return;
-  }
-  const steady_time now = clock_.Now();
-  const auto& news = std::get<watch_reply>(reply);
-  Measure(which, news, sent_at);
+watch_request fleet_link::MeasureRequest() const {
+  watch_request request = view_.Known();
+  request.policy_version = ~std::uint64_t(0) >> 1U;
+  request.roster_index = ~std::uint64_t(0) >> 1U;
+  return request;
+}
+
+void fleet_link::AddCores(const watch_reply& news) {
   for (const std::string& address : news.cores) {
     Recover(
         [&]() -> result<void> {
@@ -150,6 +160,18 @@
           log_event(log_level::kWarning, "core_address_invalid").Field("cause", failure.detail);
         });
   }
+}
+
+void fleet_link::OnReply(core& which, const rpc_result<watch_reply>& reply, steady_time sent_at) {
+  if (const auto* failure = std::get_if<rpc_failure>(&reply)) {
+    Shun(which, failure->detail);
+    Watch();
+    return;
+  }
+  const steady_time now = clock_.Now();
+  const auto& news = std::get<watch_reply>(reply);
+  Measure(which, news, sent_at);
+  AddCores(news);
   view_.Apply(news, sent_at, now);
   if (news.age > kMaxCoreAge) {
     SeekFresher(which, news.age);
@@ -234,11 +256,8 @@
     if (other == current_ || other->round_trip.count() != 0 || other->shunned_until > now) {
       continue;
     }
-    watch_request request = view_.Known();
+    watch_request request = MeasureRequest();
     request.vm = settings_.vm;
-    // What the core VM would send besides is of no use here.
-    request.policy_version = ~std::uint64_t(0) >> 1U;
-    request.roster_index = ~std::uint64_t(0) >> 1U;
     const steady_time sent_at = clock_.Now();
     ChannelOf(*other).Call<watch_reply>(
         "fleet.watch", request, kMeasureTimeout,
--- a/src/serving/fleet_link.h
+++ b/src/serving/fleet_link.h
@@ -74,6 +74,8 @@
   void Watch();
   void OnReply(core& which, const rpc_result<watch_reply>& reply, steady_time sent_at);
   void Shun(core& which, const std::string& cause);
+  watch_request MeasureRequest() const;
+  void AddCores(const watch_reply& news);
   void MeasureOthers();
   void SeekFresher(core& stale, std::chrono::milliseconds age);
   void Measure(core& which, const watch_reply& reply, steady_time sent_at);
