Keep no upstream idle that may be sound

The rule also counts requests that a later power loss ends, so waiting for failures is not enough. Change: trusted upstreams get a request after 1.2 s, recovering ones at once until they are trusted, failing ones after 2.5 to 3.5 s.

--- a/src/fleet/evidence_pool.cpp
+++ b/src/fleet/evidence_pool.cpp
@@ -16,9 +16,18 @@
 constexpr std::uint32_t kShortestPaceStep = 5;
 // Announcements may be late by seconds.
 constexpr int kSilentIntervals = 3;
-// A struggling service must not leave sound upstreams unused for two seconds.
-constexpr milliseconds kIdle(1200);
-constexpr milliseconds kLongIdle(3000);
+// Below this probability of failing an upstream is trusted.
+constexpr double kTrusted = 0.3;
+// Sound upstreams may not be idle for two seconds; a trial takes up to half a second to be made.
+constexpr milliseconds kIdleTrusted(1200);
+// An upstream that has failed its last request, tried by a request that can be repeated, by any,
+// and by any while the service is struggling. Upstreams fail for about ten seconds.
+constexpr milliseconds kIdleFailing(2500);
+constexpr milliseconds kIdleFailingAny(3500);
+constexpr milliseconds kIdleStruggling(1500);
+// One whose last request was good is tried until it is trusted.
+constexpr milliseconds kIdleRecovering(200);
+constexpr milliseconds kIdleRecoveringAny(500);
 constexpr milliseconds kCrashMemory(60'000);
 constexpr std::size_t kMaxSuspects = 1000;
 
@@ -49,6 +58,7 @@
   record& entry = RecordOf(outcome.upstream, now);
   entry.health.Observe(outcome.evidence, now);
   entry.used_at = now;
+  entry.was_good = outcome.evidence == attempt_evidence::kGood;
   if (outcome.evidence != attempt_evidence::kGood) {
     return;
   }
@@ -89,15 +99,28 @@
   return condition;
 }
 
+upstream_trial evidence_pool::TrialOf(const record& entry,
+                                      bool is_struggling,
+                                      steady_time now) const {
+  const auto unused = entry.running > 0 ? steady_time::duration() : now - entry.used_at;
+  if (entry.health.FailingAt(now) < kTrusted) {
+    return unused > kIdleTrusted ? upstream_trial::kForAny : upstream_trial::kNone;
+  }
+  const milliseconds for_any = entry.was_good  ? kIdleRecoveringAny
+                               : is_struggling ? kIdleStruggling
+                                               : kIdleFailingAny;
+  const milliseconds for_repeatable = entry.was_good ? kIdleRecovering : kIdleFailing;
+  return unused > for_any          ? upstream_trial::kForAny
+         : unused > for_repeatable ? upstream_trial::kForRepeatable
+                                   : upstream_trial::kNone;
+}
+
 void evidence_pool::PlanTrials(const std::vector<upstream_handle>& service,
                                bool is_struggling,
                                steady_time now) {
   for (const upstream_handle upstream : service) {
     record& entry = RecordOf(upstream, now);
-    const auto unused = entry.running > 0 ? steady_time::duration() : now - entry.used_at;
-    entry.trial = unused > kIdle && is_struggling ? upstream_trial::kForAny
-                  : unused > kLongIdle            ? upstream_trial::kForRepeatable
-                                                  : upstream_trial::kNone;
+    entry.trial = TrialOf(entry, is_struggling, now);
   }
 }
 
--- a/src/fleet/evidence_pool.h
+++ b/src/fleet/evidence_pool.h
@@ -29,8 +29,11 @@
   /// Drops what is known of upstreams that are not listed.
   void Retain(const std::set<upstream_handle>& known);
 
-  /// The upstreams of one service. `is_struggling`: so many of its requests fail that none of the
-  /// upstreams may stay unused, because those that are sound again cannot be told from the others.
+  /// Marks those of a service's upstreams that should get a request. No upstream that may be sound
+  /// stays unused: the capacity of the service would fall below its floor unseen. One that is
+  /// trusted gets work at least every second or two. One that was found failing is tried from time
+  /// to time, more often while the service is struggling, and again at once after a good answer, so
+  /// that it is trusted after a few.
   void PlanTrials(const std::vector<upstream_handle>& service, bool is_struggling, steady_time now);
 
   /// Recomputes conditions, which change with time too. Returns whether one has changed.
@@ -50,7 +53,8 @@
     health_filter health;
     double pace = 0;  ///< Moving mean; 0 before the first good outcome.
     std::uint32_t running = 0;
-    steady_time used_at;  ///< Had a request.
+    steady_time used_at;   ///< Had a request.
+    bool was_good = true;  ///< The newest outcome.
     upstream_trial trial = upstream_trial::kNone;
     steady_time heard_at;
     steady_time last_good_at;
@@ -58,6 +62,7 @@
     std::uint64_t revision = 0;
   };
 
+  upstream_trial TrialOf(const record& entry, bool is_struggling, steady_time now) const;
   record& RecordOf(upstream_handle upstream, steady_time now);
   upstream_condition ConditionOf(upstream_handle upstream,
                                  const record& entry,
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -145,8 +145,8 @@
 /// Whether an upstream should get a request although another one looks better.
 enum class upstream_trial : std::uint8_t {
   kNone,
-  kForRepeatable,  ///< By a request that can be repeated elsewhere: nothing current is known of it.
-  kForAny,         ///< By any request: too few upstreams of its struggling service get requests.
+  kForRepeatable,  ///< By a request that can be repeated elsewhere.
+  kForAny,         ///< By any request.
 };
 
 /// How an upstream does, from the outcomes of all VMs.
--- a/src/fleet/usage_ledger.cpp
+++ b/src/fleet/usage_ledger.cpp
@@ -31,8 +31,8 @@
   const double base = static_cast<double>(limit.rate_per_second) *
                           std::chrono::duration<double>(tolerance.window).count() +
                       static_cast<double>(limit.burst);
-  return std::max(base, base * (1 + tolerance.excess - kCountError) + tolerance.slack -
-                            kLeastCountError);
+  return std::max(base,
+                  base * (1 + tolerance.excess - kCountError) + tolerance.slack - kLeastCountError);
 }
 
 // Per second; the larger of a slow and a quick estimate.
--- a/src/serving/fleet_link.cpp
+++ b/src/serving/fleet_link.cpp
@@ -124,21 +124,20 @@
   request.hold = is_measured ? kHold : milliseconds(0);
   const steady_time sent_at = clock_.Now();
   const milliseconds patience = is_measured ? kHold + kPatience : kFirstPatience;
-  ChannelOf(*chosen).Call<watch_reply>(
-      "fleet.watch", request, patience,
-      [this, alive = is_alive_, chosen, sent_at,
-       is_measured](const rpc_result<watch_reply>& reply) {
-        if (!*alive) {
-          return;
-        }
-        const auto* news = std::get_if<watch_reply>(&reply);
-        if (is_measured || news == nullptr) {
-          return OnReply(*chosen, reply, sent_at);
-        }
-        Measure(*chosen, *news, sent_at);
-        AddCores(*news);
-        Watch();
-      });
+  ChannelOf(*chosen).Call<watch_reply>("fleet.watch", request, patience,
+                                       [this, alive = is_alive_, chosen, sent_at,
+                                        is_measured](const rpc_result<watch_reply>& reply) {
+                                         if (!*alive) {
+                                           return;
+                                         }
+                                         const auto* news = std::get_if<watch_reply>(&reply);
+                                         if (is_measured || news == nullptr) {
+                                           return OnReply(*chosen, reply, sent_at);
+                                         }
+                                         Measure(*chosen, *news, sent_at);
+                                         AddCores(*news);
+                                         Watch();
+                                       });
 }
 
 watch_request fleet_link::MeasureRequest() const {
--- a/src/serving/fleet_view.cpp
+++ b/src/serving/fleet_view.cpp
@@ -139,7 +139,7 @@
 bool fleet_view::AreRepeatsScarce(const std::string& service, steady_time now) const {
   return !AreLimitsCurrent(now) ||
          std::find(limits_.scarce_services.begin(), limits_.scarce_services.end(), service) !=
-         limits_.scarce_services.end();
+             limits_.scarce_services.end();
 }
 
 const std::vector<const known_upstream*>& fleet_view::UpstreamsOf(
--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -554,8 +554,9 @@
   }
   const bool has_arrived = arrivals_ > 0;
   if (MayRepeat() &&
-      (!has_arrived || context_.repeats.TryTake(service_, context_.view.AreRepeatsScarce(service_, context_.clock.Now()),
-                                                context_.view.Limits().active_vms)) &&
+      (!has_arrived || context_.repeats.TryTake(
+                           service_, context_.view.AreRepeatsScarce(service_, context_.clock.Now()),
+                           context_.view.Limits().active_vms)) &&
       TryNext(has_arrived)) {
     return;
   }
@@ -582,7 +583,8 @@
   const bool may_send_second = IsIdempotent() && attempts_.size() == 1 && newest->call->IsSent() &&
                                !newest->call->HasAnswerBegun() && MayRepeat();
   if (may_send_second &&
-      context_.repeats.TryTake(service_, context_.view.AreRepeatsScarce(service_, context_.clock.Now()),
+      context_.repeats.TryTake(service_,
+                               context_.view.AreRepeatsScarce(service_, context_.clock.Now()),
                                context_.view.Limits().active_vms)) {
     TryNext(true);
   }
