--- a/tests/support/consensus_schedule.cpp
+++ b/tests/support/consensus_schedule.cpp
@@ -303,12 +303,34 @@
   }
   if (applying.core->IsLeader()) {
     acknowledged_ = std::max(acknowledged_, entry.index);
+    acknowledged_at_[now_] = acknowledged_;
   }
 }
 
+// Everything that was accepted by the moment that a member names is applied there, however late the
+// message came from which it knows.
+void consensus_schedule::CheckFreshness(const node& checked) {
+  const steady_time fresh_at = checked.core->FreshAt();
+  if (fresh_at == steady_time{}) {
+    return;
+  }
+  const std::int64_t local = fresh_at.time_since_epoch().count() - checked.clock_offset;
+  const std::int64_t moment = local / static_cast<std::int64_t>(checked.clock_per_mille) * 1000;
+  const auto after = acknowledged_at_.upper_bound(moment);
+  if (after == acknowledged_at_.begin()) {
+    return;
+  }
+  ++counts_.freshness_checks;
+  Require(checked.applied >= std::prev(after)->second,
+          checked.name + " knows all that was accepted by the moment as of which it is fresh");
+}
+
 void consensus_schedule::CheckAlways() {
   int lease_holders = 0;
   for (const auto& checked : nodes_) {
+    if (checked->core) {
+      CheckFreshness(*checked);
+    }
     if (!checked->core || !checked->core->IsLeader()) {
       continue;
     }
--- a/tests/support/consensus_schedule.h
+++ b/tests/support/consensus_schedule.h
@@ -36,7 +36,8 @@
   std::uint64_t membership_changes = 0;
   std::uint64_t restored = 0;
   std::uint64_t reads = 0;
-  std::uint64_t lease_checks = 0;  ///< Moments at which a member held a lease.
+  std::uint64_t lease_checks = 0;      ///< Moments at which a member held a lease.
+  std::uint64_t freshness_checks = 0;  ///< Moments at which a follower knew how fresh it was.
 };
 
 /// One run: a time of faults, then a time without, in which the group must work again.
@@ -136,6 +137,7 @@
 
   // Checks.
   void CheckAlways();
+  void CheckFreshness(const node& checked);
   void CheckCommitted(node& applying, const log_entry& entry);
   void CheckRecovered();
   bool IsRecovered();
@@ -158,6 +160,7 @@
   std::map<std::uint64_t, committed_entry> committed_;
   std::set<std::string> applied_commands_;
   std::uint64_t acknowledged_ = 0;  ///< Last entry that a leader has applied.
+  std::map<std::int64_t, std::uint64_t> acknowledged_at_;  ///< Its changes, by time.
   std::uint64_t group_ = 0;
   std::uint64_t next_command_ = 1;
   std::uint64_t next_token_ = 1;
--- /dev/null
+++ b/tests/support/core_group.cpp
@@ -0,0 +1,157 @@
+#include "support/core_group.h"
+
+#include "base/hash.h"
+#include "support/test_fleet_keys.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <future>
+#include <stdexcept>
+#include <thread>
+
+namespace corianderhoist {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr int kSeeds = 3;
+constexpr milliseconds kPause(20);
+constexpr std::chrono::seconds kLongestWait(30);
+
+std::uint16_t FreePort() {
+  const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), size);
+  ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+  ::close(descriptor);
+  return ntohs(address.sin_port);
+}
+
+template <class Reply>
+rpc_result<Reply> Wait(const std::function<void(fleet_core::callback<Reply>)>& call) {
+  auto promise = std::make_shared<std::promise<rpc_result<Reply>>>();
+  auto future = promise->get_future();
+  call([promise](rpc_result<Reply> reply) { promise->set_value(std::move(reply)); });
+  if (future.wait_for(std::chrono::seconds(10)) != std::future_status::ready) {
+    throw std::runtime_error("a call was not answered");
+  }
+  return future.get();
+}
+
+}  // namespace
+
+core_group::core_group()
+    : folder_(std::filesystem::temp_directory_path() /
+              ("corianderhoist-cores-" + ToHex(RandomBytes(6)))) {
+  for (int seed = 1; seed <= kSeeds; ++seed) {
+    PortOf(seed);
+  }
+}
+
+core_group::~core_group() {
+  cores_.clear();
+  std::error_code status;
+  std::filesystem::remove_all(folder_, status);
+}
+
+std::uint16_t core_group::PortOf(int number) {
+  std::uint16_t& port = ports_[number];
+  while (port == 0) {
+    port = FreePort();
+  }
+  return port;
+}
+
+void core_group::Start(int number, bool may_found) {
+  fleet_core_settings settings;
+  settings.name = NameOf(number);
+  settings.region = "region-" + std::to_string(number % 2);
+  settings.listen = {"127.0.0.1", PortOf(number)};
+  settings.folder = folder_ / NameOf(number);
+  for (int seed = 1; seed <= kSeeds; ++seed) {
+    settings.seeds.push_back({NameOf(seed), {"127.0.0.1", PortOf(seed)}});
+  }
+  settings.may_found = may_found;
+  settings.voters = 5;
+  auto core = std::make_unique<fleet_core>(settings, platform::DecodePolicy, SystemClock());
+  Expect([&]() -> result<bool> {
+    BOOST_LEAF_CHECK(core->Start());
+    return true;
+  });
+  cores_[number] = std::move(core);
+}
+
+void core_group::Wipe(int number) {
+  std::filesystem::remove_all(folder_ / NameOf(number));
+}
+
+std::string core_group::Document(std::uint64_t version) {
+  return R"({"version":"r)" + std::to_string(version) +
+         R"(","routes":{"a":{"host":"a.example","path_prefix":"/","kind":"safe",)"
+         R"("timeout_ms":1000,"service":"s"}},"services":{"s":{"health_path":"/health"}}})";
+}
+
+bool core_group::PutAt(int number, std::uint64_t version) {
+  const auto reply = Wait<done_reply>([&](fleet_core::callback<done_reply> done) {
+    Core(number).PutPolicy({version, PackText(Document(version))}, std::move(done));
+  });
+  return std::holds_alternative<done_reply>(reply);
+}
+
+void core_group::Put(std::uint64_t version) {
+  Await("version " + std::to_string(version) + " is accepted", [&] {
+    for (const auto& [number, core] : cores_) {
+      if (PutAt(number, version)) {
+        return true;
+      }
+    }
+    return false;
+  });
+}
+
+std::uint64_t core_group::ReadAt(int number) {
+  const auto reply = Wait<policy_document>([&](fleet_core::callback<policy_document> done) {
+    Core(number).ReadPolicy(std::move(done));
+  });
+  const auto* document = std::get_if<policy_document>(&reply);
+  return document != nullptr ? document->version : 0;
+}
+
+bool core_group::AnnounceAt(int number, const upstream_notice& notice) {
+  const auto reply = Wait<done_reply>([&](fleet_core::callback<done_reply> done) {
+    Core(number).Announce(notice, std::move(done));
+  });
+  return std::holds_alternative<done_reply>(reply);
+}
+
+int core_group::Leader() const {
+  for (const auto& [number, core] : cores_) {
+    if (core->Status().role == "leader") {
+      return number;
+    }
+  }
+  return 0;
+}
+
+std::size_t core_group::Voters() const {
+  const int leader = Leader();
+  return leader == 0 ? 0 : cores_.at(leader)->Status().voters.size();
+}
+
+void core_group::Await(const std::string& what, const std::function<bool()>& condition) const {
+  const auto end = std::chrono::steady_clock::now() + kLongestWait;
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() > end) {
+      throw std::runtime_error("not in time: " + what);
+    }
+    std::this_thread::sleep_for(kPause);
+  }
+}
+
+}  // namespace corianderhoist
--- a/tests/unit/consensus/schedule_test.cpp
+++ b/tests/unit/consensus/schedule_test.cpp
@@ -44,6 +44,7 @@
   sum.restored += counts.restored;
   sum.reads += counts.reads;
   sum.lease_checks += counts.lease_checks;
+  sum.freshness_checks += counts.freshness_checks;
 }
 
 void Print(std::uint64_t schedules, const schedule_counts& sum) {
@@ -51,7 +52,8 @@
             << sum.elections << " elections, " << sum.crashes << " crashes, " << sum.wipes
             << " lost disks, " << sum.refusals << " refused writes, " << sum.membership_changes
             << " membership changes, " << sum.restored << " installed snapshots, " << sum.reads
-            << " confirmed reads, " << sum.lease_checks << " moments with a lease" << std::endl;
+            << " confirmed reads, " << sum.lease_checks << " moments with a lease, "
+            << sum.freshness_checks << " moments at which freshness was known" << std::endl;
 }
 
 const test_table kSchedules("consensus", "holds its promises in seeded schedules", [] {
--- /dev/null
+++ b/tests/unit/fleet/fleet_core_test.cpp
@@ -0,0 +1,192 @@
+// A group of core VMs that founds itself, takes in members and replaces lost ones without an
+// operator, over real sockets and files.
+#include "support/core_group.h"
+#include "support/test_table.h"
+
+#include <thread>
+
+namespace corianderhoist {
+namespace {
+
+using std::chrono::milliseconds;
+
+void StartFive(core_group& group) {
+  for (int number = 1; number <= 5; ++number) {
+    group.Start(number, true);
+  }
+  group.Await("five voters", [&] { return group.Voters() == 5; });
+}
+
+upstream_notice Notice(const std::string& id, upstream_state state, std::int64_t sequence) {
+  return {id, 1, "10.0.0.1:80", "s", "dc1", 4, state, sequence};
+}
+
+const test_table kFounding("core group", "three seeds found it and the others join", [] {
+  core_group group;
+  StartFive(group);
+  group.Put(3);
+  for (int number = 1; number <= 5; ++number) {
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(3), group.ReadAt(number));
+  }
+});
+
+const test_table kNoFounding("core group", "seeds that may not found one wait for it", [] {
+  core_group group;
+  for (int number = 1; number <= 3; ++number) {
+    group.Start(number, false);
+  }
+  std::this_thread::sleep_for(milliseconds(1500));
+  CPPUNIT_ASSERT_EQUAL(0, group.Leader());
+  CPPUNIT_ASSERT(!group.PutAt(1, 3));
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), group.ReadAt(2));
+});
+
+const test_table kOldVersion("core group", "a version that is not higher changes nothing", [] {
+  core_group group;
+  StartFive(group);
+  group.Put(5);
+  CPPUNIT_ASSERT(group.PutAt(2, 5));
+  CPPUNIT_ASSERT(group.PutAt(4, 4));
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t(5), group.ReadAt(1));
+});
+
+const test_table kLeaderLost("core group", "the loss of its leader leaves it working", [] {
+  core_group group;
+  StartFive(group);
+  group.Put(5);
+  const int leader = group.Leader();
+  group.Stop(leader);
+  group.Put(6);
+  for (int number = 1; number <= 5; ++number) {
+    if (number != leader) {
+      group.Await("read", [&] { return group.ReadAt(number) == 6; });
+    }
+  }
+});
+
+struct lost_case {
+  std::string name;
+  std::vector<int> lost;  ///< Their disks; in place of the leader where 0 stands.
+};
+
+// Two disks are lost at once while the others restart as well: what was acknowledged is still
+// there, and the group has five voters again.
+const test_table kDisksLost("core group",
+                            std::vector<lost_case>{
+                                {"two lost disks and a restart of all", {4, 5}},
+                                {"the disks of two seeds and a restart of all", {1, 2}},
+                                {"the disk of the leader and a restart of all", {0, 3}},
+                            },
+                            std::function([](const lost_case& row) {
+                              core_group group;
+                              StartFive(group);
+                              group.Put(7);
+                              std::vector<int> lost = row.lost;
+                              for (int& number : lost) {
+                                number = number == 0 ? group.Leader() : number;
+                              }
+                              for (int number = 1; number <= 5; ++number) {
+                                group.Stop(number);
+                              }
+                              for (const int number : lost) {
+                                group.Wipe(number);
+                              }
+                              for (int number = 1; number <= 5; ++number) {
+                                group.Start(number, false);
+                              }
+                              group.Await("five voters", [&] { return group.Voters() == 5; });
+                              for (int number = 1; number <= 5; ++number) {
+                                group.Await("version 7", [&] { return group.ReadAt(number) == 7; });
+                              }
+                              group.Put(8);
+                            }));
+
+const test_table kReplaced("core group",
+                           "a member at another address takes the place of a lost one",
+                           [] {
+                             core_group group;
+                             StartFive(group);
+                             group.Put(7);
+                             group.Stop(2);
+                             group.Start(6, false);
+                             group.Await("the lost one is replaced", [&] {
+                               const int leader = group.Leader();
+                               if (leader == 0) {
+                                 return false;
+                               }
+                               const auto voters = group.Core(leader).Status().voters;
+                               return voters.size() == 5 &&
+                                      std::find(voters.begin(), voters.end(), "core-6") !=
+                                          voters.end() &&
+                                      std::find(voters.begin(), voters.end(), "core-2") ==
+                                          voters.end();
+                             });
+                             CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), group.ReadAt(6));
+                           });
+
+const test_table kMinority("core group", "without a majority nothing is acknowledged or read", [] {
+  core_group group;
+  StartFive(group);
+  group.Put(7);
+  CPPUNIT_ASSERT(group.AnnounceAt(1, Notice("u", upstream_state::kReady, 1)));
+  for (const int number : {3, 4, 5}) {
+    group.Stop(number);
+  }
+  std::this_thread::sleep_for(milliseconds(1500));
+  CPPUNIT_ASSERT(!group.PutAt(1, 8));
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), group.ReadAt(1));
+  CPPUNIT_ASSERT(!group.AnnounceAt(2, Notice("u", upstream_state::kDraining, 2)));
+  std::this_thread::sleep_for(milliseconds(1500));
+  CPPUNIT_ASSERT_MESSAGE("nor is a repeated announcement, so that the upstream goes elsewhere",
+                         !group.AnnounceAt(1, Notice("u", upstream_state::kReady, 3)));
+});
+
+const test_table kDrain("core group", "an acknowledged drain is known to the next leader", [] {
+  core_group group;
+  StartFive(group);
+  group.Put(7);
+  CPPUNIT_ASSERT(group.AnnounceAt(1, Notice("u", upstream_state::kReady, 1)));
+  const int leader = group.Leader();
+  const int other = leader == 5 ? 4 : 5;
+  CPPUNIT_ASSERT(group.AnnounceAt(other, Notice("u", upstream_state::kDraining, 2)));
+  group.Stop(leader);
+  group.Put(8);
+  // A late announcement of the time before the drain changes nothing.
+  CPPUNIT_ASSERT(group.AnnounceAt(other, Notice("u", upstream_state::kReady, 1)));
+  std::this_thread::sleep_for(milliseconds(300));
+  CPPUNIT_ASSERT_EQUAL(std::uint64_t(8), group.ReadAt(other));
+});
+
+// Reads at all members while versions are put: a read never returns less than what had been
+// acknowledged before it began.
+const test_table kFreshReads("core group",
+                             "reads at any member are as new as the last acknowledgement",
+                             [] {
+                               core_group group;
+                               StartFive(group);
+                               group.Put(1);
+                               std::atomic<std::uint64_t> acknowledged = 1;
+                               std::atomic<bool> is_done = false;
+                               std::thread writer([&] {
+                                 for (std::uint64_t version = 2; version <= 40; ++version) {
+                                   if (group.PutAt(static_cast<int>(version % 5) + 1, version)) {
+                                     acknowledged = version;
+                                   }
+                                 }
+                                 is_done = true;
+                               });
+                               std::string failure;
+                               for (int round = 0; !is_done; ++round) {
+                                 const std::uint64_t before = acknowledged;
+                                 const std::uint64_t read = group.ReadAt(round % 5 + 1);
+                                 if (read != 0 && read < before) {
+                                   failure = "read " + std::to_string(read) + " after " +
+                                             std::to_string(before);
+                                 }
+                               }
+                               writer.join();
+                               CPPUNIT_ASSERT_EQUAL(std::string(), failure);
+                             });
+
+}  // namespace
+}  // namespace corianderhoist
