--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -44,8 +44,8 @@
 
 /// The clocks of this machine, for code that is not handed a clock: timers of the plumbing.
 inline const clock_source& SystemClock() {
-  static const process_clock clock;
-  return clock;
+  static const process_clock kClock;
+  return kClock;
 }
 
 /// A clock that stands still until `Advance` is called. Not thread safe.
--- a/src/serving/upstream_call.cpp
+++ b/src/serving/upstream_call.cpp
@@ -305,9 +305,14 @@
   const auto keep_alive = shared_from_this();
   if (!is_sent_) {
     Finish(call_result::kNotConnected, "connection failed");
-  } else if (how == stream_end::kFinished && !is_foreign_ && reader_->FinishAtClose()) {
-    Finish(result_, result_detail_);
-  } else if (result_ == call_result::kNotExecuted || result_ == call_result::kWrongInstance) {
+    return;
+  }
+  const bool is_ended_by_close =
+      how == stream_end::kFinished && !is_foreign_ && reader_->FinishAtClose();
+  // The head alone says that the request was not run.
+  const bool is_refusal =
+      result_ == call_result::kNotExecuted || result_ == call_result::kWrongInstance;
+  if (is_ended_by_close || is_refusal) {
     Finish(result_, result_detail_);
   } else if (has_answer_begun_ && !is_foreign_) {
     Finish(call_result::kBroken, "the answer ended early");
--- a/tests/unit/serving/request_flow_test.cpp
+++ b/tests/unit/serving/request_flow_test.cpp
@@ -318,7 +318,6 @@
                         "an answer before the whole body does not disturb the connection",
                         [] {
                           serving_fixture fixture;
-                          std::atomic<int> connections = 0;
                           scripted_upstream& upstream = fixture.Add("u1", "orders", Good());
                           fixture.Start();
                           test_caller caller(fixture.Port());
