Let VMs of an upstream's own region make its trials, and try failing ones later

Change: a failing upstream is tried by unrepeatable requests after 6 s (1.5 s while its service struggles, as before); VMs of other regions follow only after a head start.

--- a/src/fleet/evidence_pool.cpp
+++ b/src/fleet/evidence_pool.cpp
@@ -21,13 +21,19 @@
 // Sound upstreams may not be idle for two seconds; a trial takes up to half a second to be made.
 constexpr milliseconds kIdleTrusted(1200);
 // An upstream that has failed its last request, tried by a request that can be repeated, by any,
-// and by any while the service is struggling. Upstreams fail for about ten seconds.
+// and by any while the service is struggling. Upstreams fail for about ten seconds, so that most
+// trials before that are lost requests; only a service that struggles needs the capacity sooner.
 constexpr milliseconds kIdleFailing(2500);
-constexpr milliseconds kIdleFailingAny(3500);
+constexpr milliseconds kIdleFailingAny(6000);
 constexpr milliseconds kIdleStruggling(1500);
 // One whose last request was good is tried until it is trusted.
 constexpr milliseconds kIdleRecovering(200);
 constexpr milliseconds kIdleRecoveringAny(500);
+// The VMs of an upstream's own region make a trial first. Others follow while the service is
+// struggling or the upstream is trusted, before two seconds are over, and otherwise when the own
+// region seems to have no requests.
+constexpr milliseconds kRegionHeadStart(300);
+constexpr milliseconds kRegionHeadStartFailing(6000);
 constexpr milliseconds kCrashMemory(60'000);
 constexpr std::size_t kMaxSuspects = 1000;
 
@@ -103,16 +109,20 @@
                                       bool is_struggling,
                                       steady_time now) const {
   const auto unused = entry.running > 0 ? steady_time::duration() : now - entry.used_at;
-  if (entry.health.FailingAt(now) < kTrusted) {
-    return unused > kIdleTrusted ? upstream_trial::kForAny : upstream_trial::kNone;
-  }
-  const milliseconds for_any = entry.was_good  ? kIdleRecoveringAny
-                               : is_struggling ? kIdleStruggling
-                                               : kIdleFailingAny;
-  const milliseconds for_repeatable = entry.was_good ? kIdleRecovering : kIdleFailing;
-  return unused > for_any          ? upstream_trial::kForAny
-         : unused > for_repeatable ? upstream_trial::kForRepeatable
-                                   : upstream_trial::kNone;
+  const bool is_trusted = entry.health.FailingAt(now) < kTrusted;
+  const milliseconds for_any = is_trusted       ? kIdleTrusted
+                               : entry.was_good ? kIdleRecoveringAny
+                               : is_struggling  ? kIdleStruggling
+                                                : kIdleFailingAny;
+  const milliseconds for_repeatable = is_trusted       ? kIdleTrusted
+                                      : entry.was_good ? kIdleRecovering
+                                                       : kIdleFailing;
+  const milliseconds head_start =
+      is_trusted || is_struggling ? kRegionHeadStart : kRegionHeadStartFailing;
+  return unused > for_any + head_start ? upstream_trial::kForAnyRegion
+         : unused > for_any            ? upstream_trial::kForAny
+         : unused > for_repeatable     ? upstream_trial::kForRepeatable
+                                       : upstream_trial::kNone;
 }
 
 void evidence_pool::PlanTrials(const std::vector<upstream_handle>& service,
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -142,11 +142,13 @@
   }
 };
 
-/// Whether an upstream should get a request although another one looks better.
+/// Whether an upstream should get a request although another one looks better. But for the last
+/// value only VMs of its own region make the trial, since an answer from another one is dear.
 enum class upstream_trial : std::uint8_t {
   kNone,
   kForRepeatable,  ///< By a request that can be repeated elsewhere.
   kForAny,         ///< By any request.
+  kForAnyRegion,   ///< By any request, also from VMs of other regions.
 };
 
 /// How an upstream does, from the outcomes of all VMs.
--- a/src/serving/upstream_book.cpp
+++ b/src/serving/upstream_book.cpp
@@ -20,7 +20,9 @@
 constexpr milliseconds kColdTime(3500);
 // The pool knows of an own request after this time.
 constexpr milliseconds kOwnTrial(500);
-// Share of the VMs that may try an upstream in the same second.
+// Share of the VMs that may try an upstream in the same second: of those of its region, which are
+// about a third of all, and of all.
+constexpr std::uint64_t kTrialPerMilleOfRegion = 300;
 constexpr std::uint64_t kTrialPerMille = 120;
 constexpr double kProbabilityUnits = 255;
 constexpr double kPaceUnits = 100;
@@ -45,11 +47,11 @@
 
 // All VMs learn at the same moment that an upstream should be tried. A few of them, others each
 // second, may do it, so that it gets one request and not one of every VM.
-bool upstream_book::IsChosenForTrial(upstream_handle upstream) const {
+bool upstream_book::IsChosenForTrial(upstream_handle upstream, bool is_own_region) const {
   const auto second = clock_.WallNow().time_since_epoch() / std::chrono::seconds(1);
   const std::uint64_t parts[] = {vm_hash_, upstream, static_cast<std::uint64_t>(second)};
   const std::string_view bytes(reinterpret_cast<const char*>(parts), sizeof(parts));
-  return FastHash(bytes) % 1000 < kTrialPerMille;
+  return FastHash(bytes) % 1000 < (is_own_region ? kTrialPerMilleOfRegion : kTrialPerMille);
 }
 
 upstream_book::record& upstream_book::RecordOf(upstream_handle upstream) {
@@ -85,8 +87,10 @@
 // that a new one works at all.
 bool upstream_book::IsDue(const known_upstream& upstream, const record& own, bool may_try) const {
   const steady_time now = clock_.Now();
+  const bool is_own_region =
+      place_.DistanceTo(upstream.entry.data_centre) != nearness::kOtherRegion;
   if (now - own.started_at < kOwnTrial || now - own.shed_at < kShedMemory ||
-      !IsChosenForTrial(upstream.entry.handle)) {
+      !IsChosenForTrial(upstream.entry.handle, is_own_region)) {
     return false;
   }
   const bool is_untried = !upstream.has_condition || upstream.condition.pace == 0;
@@ -96,8 +100,17 @@
   if (!upstream.has_condition) {
     return false;
   }
-  return upstream.condition.trial == upstream_trial::kForAny ||
-         (may_try && upstream.condition.trial == upstream_trial::kForRepeatable);
+  switch (upstream.condition.trial) {
+    case upstream_trial::kNone:
+      return false;
+    case upstream_trial::kForRepeatable:
+      return is_own_region && may_try;
+    case upstream_trial::kForAny:
+      return is_own_region;
+    case upstream_trial::kForAnyRegion:
+      return true;
+  }
+  return false;
 }
 
 placement_candidate upstream_book::CandidateOf(const known_upstream& upstream, bool may_try) {
--- a/src/serving/upstream_book.h
+++ b/src/serving/upstream_book.h
@@ -56,7 +56,7 @@
     steady_time started_at{};
   };
   record& RecordOf(upstream_handle upstream);
-  bool IsChosenForTrial(upstream_handle upstream) const;
+  bool IsChosenForTrial(upstream_handle upstream, bool is_own_region) const;
   bool IsDue(const known_upstream& upstream, const record& own, bool may_try) const;
 
   const fleet_view& view_;
