Take the report of a silent upstream back when its answer comes late

An upstream that stayed slow was also tried twice a second, as one that recovers.

Change: a good answer after such a report takes it back (attempt_evidence::kLate); slowness is left to the pace. An upstream slower than the objective is tried like a failing one.

--- a/src/fleet/evidence_pool.cpp
+++ b/src/fleet/evidence_pool.cpp
@@ -16,6 +16,8 @@
 constexpr std::uint32_t kShortestPaceStep = 5;
 // Announcements may be late by seconds.
 constexpr int kSilentIntervals = 3;
+// An upstream whose answers take longer than the objective is tried like one that fails.
+constexpr double kSlowPace = 100;
 // Below this probability of failing an upstream is trusted.
 constexpr double kTrusted = 0.3;
 // Sound upstreams may not be idle for two seconds; a trial takes up to half a second to be made.
@@ -64,8 +66,8 @@
   record& entry = RecordOf(outcome.upstream, now);
   entry.health.Observe(outcome.evidence, now);
   entry.used_at = now;
-  entry.was_good = outcome.evidence == attempt_evidence::kGood;
-  if (outcome.evidence != attempt_evidence::kGood) {
+  entry.was_good = IsAnsweredWell(outcome.evidence);
+  if (!entry.was_good) {
     return;
   }
   entry.last_good_at = now;
@@ -109,14 +111,16 @@
                                       bool is_struggling,
                                       steady_time now) const {
   const auto unused = entry.running > 0 ? steady_time::duration() : now - entry.used_at;
-  const bool is_trusted = entry.health.FailingAt(now) < kTrusted;
-  const milliseconds for_any = is_trusted       ? kIdleTrusted
-                               : entry.was_good ? kIdleRecoveringAny
-                               : is_struggling  ? kIdleStruggling
-                                                : kIdleFailingAny;
-  const milliseconds for_repeatable = is_trusted       ? kIdleTrusted
-                                      : entry.was_good ? kIdleRecovering
-                                                       : kIdleFailing;
+  const bool is_slow = entry.pace > kSlowPace;
+  const bool is_trusted = !is_slow && entry.health.FailingAt(now) < kTrusted;
+  const bool is_recovering = !is_slow && entry.was_good;
+  const milliseconds for_any = is_trusted      ? kIdleTrusted
+                               : is_recovering ? kIdleRecoveringAny
+                               : is_struggling ? kIdleStruggling
+                                               : kIdleFailingAny;
+  const milliseconds for_repeatable = is_trusted      ? kIdleTrusted
+                                      : is_recovering ? kIdleRecovering
+                                                      : kIdleFailing;
   const milliseconds head_start =
       is_trusted || is_struggling ? kRegionHeadStart : kRegionHeadStartFailing;
   return unused > for_any + head_start ? upstream_trial::kForAnyRegion
--- a/src/fleet/health_filter.cpp
+++ b/src/fleet/health_filter.cpp
@@ -26,6 +26,9 @@
       return failures;
     case attempt_evidence::kUnheard:
       return unheard;
+    case attempt_evidence::kLate:
+      // Takes back the report of the same request: it was slow, which its pace says.
+      return (1 - failures) / unheard;
   }
   return 1;
 }
--- a/src/fleet/health_filter.h
+++ b/src/fleet/health_filter.h
@@ -4,6 +4,7 @@
 #include "base/clock.h"
 
 #include <chrono>
+#include <cstdint>
 
 namespace corianderhoist {
 
@@ -12,8 +13,14 @@
   kGood,     ///< A whole answer that is not a server error.
   kFailed,   ///< A server error, a broken answer, or a connection lost under way.
   kUnheard,  ///< No answer, or no connection, in time.
+  kLate,     ///< A good answer after all to a request that was reported as `kUnheard`.
 };
 
+/// Whether the request was answered well, in time or not.
+inline bool IsAnsweredWell(attempt_evidence evidence) {
+  return evidence == attempt_evidence::kGood || evidence == attempt_evidence::kLate;
+}
+
 /// A model with two states, sound and failing, that change at random times. Each outcome moves the
 /// probability of the failing state by Bayes' rule; without outcomes it returns to the long-run
 /// share. A sound upstream fails about 1 % of its requests, a failing one most of them, so that one
--- a/src/serving/repeat_budget.h
+++ b/src/serving/repeat_budget.h
@@ -36,7 +36,7 @@
   struct counts {
     sliding_count requests;
     sliding_count repeats;
-    double slow_tokens = 0.5;  ///< Repeats for slowness that may be taken.
+    double slow_tokens = 1;  ///< Repeats for slowness that may be taken.
   };
 
   const repeat_bound bound_;
--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -481,7 +481,8 @@
   switch (result) {
     case call_result::kAnswered:
       NoteEvidence(*which,
-                   !is_server_error                        ? attempt_evidence::kGood
+                   !is_server_error && which->is_suspected ? attempt_evidence::kLate
+                   : !is_server_error                      ? attempt_evidence::kGood
                    : which->head.status == kGatewayTimeout ? attempt_evidence::kUnheard
                                                            : attempt_evidence::kFailed,
                    !is_server_error);
@@ -575,16 +576,17 @@
   const auto unheard_after = duration_cast<milliseconds>(objective * kUnheardShare);
   const attempt_ptr newest = attempts_.back();
   const auto taken = context_.clock.Now() - newest->started;
-  if (taken >= unheard_after) {
-    if (newest->call->IsSent() && !std::exchange(newest->is_suspected, true)) {
-      NoteEvidence(*newest, attempt_evidence::kUnheard, false);
-    }
-    return;
+  const bool is_unheard = taken >= unheard_after;
+  if (!is_unheard) {
+    slow_timer_.start(duration_cast<milliseconds>(unheard_after - taken) + milliseconds(1));
+  } else if (newest->call->IsSent() && !std::exchange(newest->is_suspected, true)) {
+    NoteEvidence(*newest, attempt_evidence::kUnheard, false);
   }
-  slow_timer_.start(duration_cast<milliseconds>(unheard_after - taken) + milliseconds(1));
   const bool may_send_second = IsIdempotent() && attempts_.size() == 1 && newest->call->IsSent() &&
                                !newest->call->HasAnswerBegun() && MayRepeat();
-  if (may_send_second && TakeRepeat(repeat_cause::kSlowness)) {
+  // An upstream that stays silent has probably failed the request.
+  const repeat_cause cause = is_unheard ? repeat_cause::kFailure : repeat_cause::kSlowness;
+  if (may_send_second && TakeRepeat(cause)) {
     TryNext(true);
   }
 }
--- a/src/serving/upstream_book.cpp
+++ b/src/serving/upstream_book.cpp
@@ -74,7 +74,7 @@
   const steady_time now = clock_.Now();
   record& entry = RecordOf(upstream);
   entry.health.Observe(evidence, now);
-  if (evidence != attempt_evidence::kGood) {
+  if (!IsAnsweredWell(evidence)) {
     entry.failed_at = now;
   }
 }
--- a/tests/unit/fleet/health_filter_test.cpp
+++ b/tests/unit/fleet/health_filter_test.cpp
@@ -13,6 +13,7 @@
 constexpr auto kGood = attempt_evidence::kGood;
 constexpr auto kFailed = attempt_evidence::kFailed;
 constexpr auto kUnheard = attempt_evidence::kUnheard;
+constexpr auto kLate = attempt_evidence::kLate;
 
 struct filter_case {
   std::string name;
@@ -45,6 +46,16 @@
          milliseconds(0),
          0,
          0.3},
+        {"a late answer takes its report back",
+         {kGood, kGood, kGood, kUnheard, kLate},
+         milliseconds(0),
+         0,
+         0.1},
+        {"two late answers at the same time",
+         {kGood, kGood, kGood, kUnheard, kUnheard, kLate, kLate},
+         milliseconds(0),
+         0,
+         0.3},
         {"a failure is forgotten in time", {kFailed}, milliseconds(40'000), 0.2, 0.3},
         {"and so are successes",
          {kGood, kGood, kGood, kGood, kGood},
@@ -96,6 +107,7 @@
   bool is_struggling;
   std::uint32_t running;
   upstream_trial expected;
+  std::uint32_t pace = 30;  ///< Of all answers.
 };
 
 constexpr auto kNone = upstream_trial::kNone;
@@ -141,6 +153,15 @@
          false,
          0,
          kForAny},
+        {"late answers", {kUnheard, kLate, kUnheard, kLate}, milliseconds(1400), false, 0, kForAny},
+        {"slower than the objective", {kUnheard, kLate}, milliseconds(1000), false, 0, kNone, 150},
+        {"slower than the objective, for long",
+         {kUnheard, kLate},
+         milliseconds(6500),
+         false,
+         0,
+         kForAny,
+         150},
         {"good four times after failures",
          {kFailed, kFailed, kGood, kGood, kGood, kGood},
          milliseconds(600),
@@ -155,7 +176,7 @@
       outcomes.insert(outcomes.end(), row.outcomes.begin(), row.outcomes.end());
       for (const attempt_evidence outcome : outcomes) {
         clock.Advance(milliseconds(100));
-        pool.Observe({1, outcome, 30}, clock.Now());
+        pool.Observe({1, outcome, row.pace}, clock.Now());
       }
       pool.SetRunning(1, row.running, clock.Now());
       clock.Advance(row.unused);
