Count what may have been admitted before a core VM started

All core VMs are killed at 3.6 s while a workspace sends five times its rate; those that come back count from nothing, while the window still holds what was admitted before.

Change: for the part of the window before its start a core VM adds the workspace's rate.

--- a/src/fleet/fleet_core.h
+++ b/src/fleet/fleet_core.h
@@ -118,7 +118,7 @@
                     origin where,
                     steady_time at);
   double RegionScale() const;
-  workspace_usage UsageOf(const std::string& workspace) const;
+  workspace_usage UsageOf(const std::string& workspace, const workspace_rate& limit) const;
   service_usage ServiceUsageOf(const std::string& service) const;
   void OnReport(report_request request);
   // Sharing (fleet_core_share.cpp).
@@ -149,6 +149,7 @@
   fleet_core_settings settings_;
   const policy_decoder decoder_;
   const clock_source& clock_;
+  const steady_time started_at_;  ///< Counts begin here.
   const std::uint64_t life_;
 
   fleet_state state_;
--- a/src/fleet/fleet_core_pool.cpp
+++ b/src/fleet/fleet_core_pool.cpp
@@ -3,6 +3,7 @@
 #include "fleet/fleet_core.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -221,7 +222,8 @@
 
 // Counts of other regions may be late or missing. Callers are spread over the regions, so the
 // region's own counts, scaled to all VMs, bound what is missing.
-workspace_usage fleet_core::UsageOf(const std::string& workspace) const {
+workspace_usage fleet_core::UsageOf(const std::string& workspace,
+                                    const workspace_rate& limit) const {
   const steady_time now = clock_.Now();
   const double scale = RegionScale();
   const workspace_usage all = usage_.UsageOf(workspace, settings_.rates, now);
@@ -232,7 +234,8 @@
   }
   bound.admitted_rate = std::max(all.admitted_rate, own.admitted_rate * scale);
   bound.demand_rate = std::max(all.demand_rate, own.demand_rate * scale);
-  return bound;
+  return WithLostCounts(bound, limit, settings_.rates,
+                        std::chrono::duration_cast<milliseconds>(now - started_at_));
 }
 
 service_usage fleet_core::ServiceUsageOf(const std::string& service) const {
@@ -249,16 +252,18 @@
   next_limits_ = now + kLimitsInterval;
   shared_limits present;
   is_near_limit_ = false;
+  std::map<std::string, workspace_usage> limited;
   if (policy_) {
     for (const policy_workspace& workspace : policy_->Policy().workspaces) {
       const workspace_rate limit{workspace.rate_per_second, workspace.burst};
-      const workspace_usage usage = UsageOf(workspace.name);
+      const workspace_usage usage = UsageOf(workspace.name, limit);
       const double share = AdmittedShare(usage, limit, settings_.rates);
       is_near_limit_ = is_near_limit_ || IsNearLimit(usage, limit, settings_.rates);
       const auto per_mille =
           static_cast<std::uint32_t>(share * kPerMille) / kShareStep * kShareStep;
       if (per_mille < kPerMille) {
         present.workspaces.push_back({workspace.name, per_mille});
+        limited.emplace(workspace.name, usage);
       }
     }
     for (const policy_service& service : policy_->Policy().services) {
@@ -281,7 +286,7 @@
       present.blocked_requests != limits_.blocked_requests) {
     log_event event(log_level::kInfo, "limits_changed");
     for (const workspace_share& share : present.workspaces) {
-      const workspace_usage usage = UsageOf(share.workspace);
+      const workspace_usage& usage = limited.at(share.workspace);
       event.Field("workspace " + share.workspace, static_cast<int>(share.per_mille))
           .Field("spent", static_cast<int>(usage.spent.back()))
           .Field("admitted_rate", static_cast<int>(usage.admitted_rate))
--- a/src/fleet/usage_ledger.cpp
+++ b/src/fleet/usage_ledger.cpp
@@ -123,6 +123,19 @@
           static_cast<double>(found->second.failures.Sum(kRecent, now))};
 }
 
+workspace_usage WithLostCounts(workspace_usage usage,
+                               const workspace_rate& limit,
+                               const rate_tolerance& tolerance,
+                               milliseconds known_for) {
+  for (std::size_t i = 0; i < usage.spent.size(); ++i) {
+    const milliseconds passed = tolerance.window - workspace_usage::kHorizons[i];
+    const auto unknown = std::max(passed - known_for, milliseconds(0));
+    usage.spent[i] +=
+        static_cast<double>(limit.rate_per_second) * std::chrono::duration<double>(unknown).count();
+  }
+  return usage;
+}
+
 double AdmittedShare(const workspace_usage& usage,
                      const workspace_rate& limit,
                      const rate_tolerance& tolerance) {
--- a/src/fleet/usage_ledger.h
+++ b/src/fleet/usage_ledger.h
@@ -75,6 +75,15 @@
   double recent_failures = 0;  ///< Requests that ended without success in the last two seconds.
 };
 
+/// Adds what may have been admitted before the counts begin, which was `known_for` ago: the
+/// workspace's rate. A core VM that has just started knows no earlier counts, while the window
+/// still holds the requests. Answers the loss of all core VMs under a workspace that sends several
+/// times its rate.
+workspace_usage WithLostCounts(workspace_usage usage,
+                               const workspace_rate& limit,
+                               const rate_tolerance& tolerance,
+                               std::chrono::milliseconds known_for);
+
 /// Share of a workspace's requests that the VMs may admit now, 0 to 1. It is 1 until the demand of
 /// the last second would reach the limit within the next one. Answers the load of one workspace
 /// that sends several times its rate.
--- a/tests/unit/fleet/usage_ledger_test.cpp
+++ b/tests/unit/fleet/usage_ledger_test.cpp
@@ -127,6 +127,32 @@
           found.served >= found.owed * (1 - row.most_refused));
     }));
 
+struct lost_case {
+  std::string name;
+  milliseconds known_for;
+  double least_spent;  ///< At the nearest horizon.
+  double most_spent;
+};
+
+// All core VMs were killed at 3.6 s of scale-1 of vornicu-poarta (seed 148862014147) under a
+// workspace at five times its rate: 530 requests ran in a window for 528, since the restarted core
+// VMs counted from nothing.
+const test_table kLost(
+    "rate after a restart",
+    std::vector<lost_case>{
+        {"counts of the whole window", milliseconds(5000), 40, 40},
+        {"long ago", milliseconds(60'000), 40, 40},
+        {"a second ago", milliseconds(1000), 40 + 80 * 3.7, 40 + 80 * 3.8},
+        {"just now", milliseconds(0), 40 + 80 * 4.7, 40 + 80 * 4.8},
+    },
+    std::function([](const lost_case& row) {
+      workspace_usage usage;
+      usage.spent.fill(40);
+      const double spent = WithLostCounts(usage, {80, 80}, kTolerance, row.known_for).spent[0];
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(spent),
+                             spent >= row.least_spent && spent <= row.most_spent);
+    }));
+
 const test_table kNoLimit("rate", "a workspace without a rate is not limited", [] {
   const workspace_usage heavy{{1e6, 1e6, 1e6, 1e6}, 1e6, 1e6};
   CPPUNIT_ASSERT_EQUAL(1.0, AdmittedShare(heavy, {0, 0}, kTolerance));
