--- a/tests/support/core_group.cpp
+++ b/tests/support/core_group.cpp
@@ -27,9 +27,13 @@
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   socklen_t size = sizeof(address);
-  ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), size);
-  ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
+  const bool is_bound =
+      ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), size) == 0 &&
+      ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size) == 0;
   ::close(descriptor);
+  if (!is_bound) {
+    throw std::runtime_error("no free port on the loopback address");
+  }
   return ntohs(address.sin_port);
 }
 
