Format the head of an answer in one place

front_connection and caller_connection each had a copy of FormatHead and HasBody; both call http/answer_head_text now.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -1,6 +1,7 @@
 #include "http/caller_connection.h"
 
 #include "base/log.h"
+#include "http/answer_head_text.h"
 #include "observe/metrics.h"
 
 #include <QHostAddress>
@@ -22,32 +23,8 @@
 constexpr milliseconds kStallTimeout(30'000);
 constexpr std::size_t kMaxLingerBytes = 4UL << 20U;
 constexpr qint64 kReadBufferBytes = 64LL << 10;
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
-bool HasBody(int status) {
-  return status != kNoContent && status != kNotModified;
-}
-
-std::string FormatHead(const answer_head& head, bool is_last) {
-  std::string text = "HTTP/1.1 " + std::to_string(head.status) + " ";
-  text += ReasonPhrase(head.status);
-  text += "\r\n";
-  for (const header_field& field : head.headers) {
-    text += field.name + ": " + field.value + "\r\n";
-  }
-  if (HasBody(head.status)) {
-    text += head.length ? "Content-Length: " + std::to_string(*head.length) + "\r\n"
-                        : "Transfer-Encoding: chunked\r\n";
-  }
-  if (is_last) {
-    text += "Connection: close\r\n";
-  }
-  text += "\r\n";
-  return text;
-}
-
 }  // namespace
 
 // Frames the answer. The connection forgets its sink at the end of the answer, which makes further
--- a/src/http/front_connection.cpp
+++ b/src/http/front_connection.cpp
@@ -1,6 +1,7 @@
 #include "http/front_connection.h"
 
 #include "base/log.h"
+#include "http/answer_head_text.h"
 
 #include <QTimer>
 
@@ -21,14 +22,8 @@
 constexpr std::size_t kMaxIncoming = 256UL << 10U;
 // An answered request's body that is shorter is read to its end, so that the connection stays open.
 constexpr std::uint64_t kMaxDiscarded = 256UL << 10U;
-constexpr int kNoContent = 204;
-constexpr int kNotModified = 304;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
-bool HasBody(int status) {
-  return status != kNoContent && status != kNotModified;
-}
-
 }  // namespace
 
 std::string request_body::Take() {
@@ -110,7 +105,7 @@
     std::string bytes;
     if (has_begun_ && !is_head_sent_) {
       is_head_sent_ = true;
-      bytes = FormatHead(is_last);
+      bytes = FormatHead(head_, is_last);
     }
     bytes += std::exchange(pending_, {});
     return bytes;
@@ -127,24 +122,6 @@
   void SetFront() { is_front_ = true; }
 
  private:
-  std::string FormatHead(bool is_last) const {
-    std::string text = "HTTP/1.1 " + std::to_string(head_.status) + " ";
-    text += ReasonPhrase(head_.status);
-    text += "\r\n";
-    for (const header_field& field : head_.headers) {
-      text += field.name + ": " + field.value + "\r\n";
-    }
-    if (HasBody(head_.status)) {
-      text += head_.length ? "Content-Length: " + std::to_string(*head_.length) + "\r\n"
-                           : "Transfer-Encoding: chunked\r\n";
-    }
-    if (is_last) {
-      text += "Connection: close\r\n";
-    }
-    text += "\r\n";
-    return text;
-  }
-
   front_connection* connection_;
   const bool is_head_method_;
   answer_head head_;
