End answers that do not end before the deadline

Cause: once a part of an answer had been passed on, the deadline timer was stopped, so an upstream that sent bytes without end was passed on without end. The body of a server error, of a refusal or of an answer to another request was read until the deadline, the first one into memory without a bound.

Change: the deadline also ends an answer that is being passed on: the caller's connection is reset, so that the answer does not look complete, the upstream's connection is closed and the upstream is recorded as timed out, unless its bytes waited for the caller. One event reads one block of 64 KiB, so that a peer that sends without pause does not hold up the other connections.

--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -18,7 +18,6 @@
 namespace {
 
 constexpr std::size_t kReadBlockBytes = 64UL << 10U;
-constexpr int kReadsPerEvent = 4;
 // Sent bytes before `pending_start_` are erased once they exceed this size.
 constexpr std::size_t kCompactThresholdBytes = 64UL << 10U;
 // A peer that has lost power sends neither acknowledgements nor resets. The connection ends after
@@ -111,27 +110,22 @@
   write_notifier_->setEnabled(false);
 }
 
+// Reads one block per event: the notifier fires again while bytes are left, after the events of
+// other connections, so that a peer that sends without pause does not hold up the others.
 void tcp_stream::OnReadable() {
-  const auto alive = is_alive_;
   static thread_local std::array<char, kReadBlockBytes> block;
-  for (int i = 0; i < kReadsPerEvent; ++i) {
-    const ssize_t count = ::recv(descriptor_, block.data(), block.size(), MSG_DONTWAIT);
-    if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
-      return;
-    }
-    if (count <= 0) {
-      End(count == 0 ? stream_end::kFinished : stream_end::kReset);
-      return;
-    }
-    if (events_.on_bytes) {
-      // Copies the callback, because it may call `SetEvents`.
-      const auto on_bytes = events_.on_bytes;
-      on_bytes(std::string_view(block.data(), static_cast<std::size_t>(count)));
-    }
-    if (!*alive || has_ended_ || !read_notifier_->isEnabled() ||
-        static_cast<std::size_t>(count) < block.size()) {
-      return;
-    }
+  const ssize_t count = ::recv(descriptor_, block.data(), block.size(), MSG_DONTWAIT);
+  if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) {
+    return;
+  }
+  if (count <= 0) {
+    End(count == 0 ? stream_end::kFinished : stream_end::kReset);
+    return;
+  }
+  if (events_.on_bytes) {
+    // Copies the callback, because it may call `SetEvents`.
+    const auto on_bytes = events_.on_bytes;
+    on_bytes(std::string_view(block.data(), static_cast<std::size_t>(count)));
   }
 }
 
--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -430,17 +430,22 @@
     return;
   }
   this_attempt->body += part;
-  if (this_attempt->body.size() > kMaxBufferedAnswerBytes && !streaming_ &&
-      this_attempt->head.status < kMinServerErrorStatus) {
+  if (this_attempt->body.size() <= kMaxBufferedAnswerBytes) {
+    return;
+  }
+  if (!streaming_ && this_attempt->head.status < kMinServerErrorStatus) {
     StartStreaming(this_attempt);
+    return;
   }
+  // The body of a server error, or of an attempt whose response is no longer needed.
+  this_attempt->body.clear();
+  this_attempt->call->Break("the body is larger than the buffer");
 }
 
 // Commits to this response: the caller can no longer get that of another attempt.
 void request_flow::StartStreaming(const attempt_ptr& this_attempt) {
   streaming_ = this_attempt;
   slow_timer_.stop();
-  deadline_timer_.stop();
   answer_head head = this_attempt->head;
   head.headers = WithoutHopByHop(head.headers);
   sink_->on_drained = [weak = weak_from_this()] {
@@ -530,10 +535,10 @@
   if (streaming_ == this_attempt) {
     if (result == call_result::kAnswered) {
       sink_->End();
+      Complete();
     } else {
-      sink_->Abort();
+      AbortStreaming(detail);
     }
-    Complete();
     return;
   }
   if (streaming_) {
@@ -689,9 +694,33 @@
   }
 }
 
+// Ends a response that has been partly sent, so that the caller does not take it for complete.
+void request_flow::AbortStreaming(const std::string& detail) {
+  log_event(log_level::kInfo, "answer_aborted")
+      .Field("request_id", request_.id)
+      .Field("attempt_id", attempt_id_)
+      .Field("upstream", streaming_->upstream_id)
+      .Field("detail", detail)
+      .Field("taken_ms", duration_cast<milliseconds>(context_.clock.Now() - arrived_).count());
+  metrics::Instance().Counter("requests.aborted").Add();
+  sink_->on_caller_disconnected = nullptr;
+  sink_->Abort();
+  Complete();
+}
+
 void request_flow::OnDeadline() {
   const auto keep_alive = shared_from_this();
-  if (is_complete_ || streaming_) {
+  if (is_complete_) {
+    return;
+  }
+  if (streaming_) {
+    // An upstream whose response waits for the caller is not the cause.
+    if (sink_->Unsent() <= kMaxUnsentBytes) {
+      NoteEvidence(*streaming_, attempt_evidence::kTimedOut, false);
+      NoteFailure();
+    }
+    CancelAttempts();
+    AbortStreaming("the response did not end before the deadline");
     return;
   }
   for (const attempt_ptr& each : attempts_) {
--- a/src/serving/request_flow.h
+++ b/src/serving/request_flow.h
@@ -129,6 +129,7 @@
   void StartStreaming(const attempt_ptr& this_attempt);
   void Refuse(error_kind kind, const std::string& detail);
   void FinishWithoutAnswer();
+  void AbortStreaming(const std::string& detail);
   void OnDeadline();
   void OnCallerDisconnected();
   void CancelAttempts();
--- a/src/serving/upstream_call.cpp
+++ b/src/serving/upstream_call.cpp
@@ -16,6 +16,8 @@
 using std::chrono::seconds;
 
 constexpr int kMaxSkippedAnswers = 2;
+// A body that is not needed is read up to this size, so that the connection can be reused.
+constexpr std::size_t kMaxDiscardedBodyBytes = 64UL << 10U;
 constexpr int kMisdirectedRequestStatus = 421;
 constexpr int kMinSuccessStatus = 200;
 constexpr int kMinRedirectStatus = 300;
@@ -133,11 +135,28 @@
   reader_ =
       std::make_unique<answer_reader>(plan_.is_head_method, close_delimited_answers::kAccepted);
   reader_->on_head = [this](const answer_head& head) { OnHead(head); };
-  reader_->on_body = [this](std::string_view part) {
-    if (!has_ended_ && !is_other_request_ && result_ == call_result::kAnswered && events_.on_body) {
+  reader_->on_body = [this](std::string_view part) { OnBody(part); };
+}
+
+void upstream_call::OnBody(std::string_view part) {
+  if (has_ended_) {
+    return;
+  }
+  if (!is_other_request_ && result_ == call_result::kAnswered) {
+    if (events_.on_body) {
       events_.on_body(part);
     }
-  };
+    return;
+  }
+  discarded_bytes_ += part.size();
+  if (discarded_bytes_ > kMaxDiscardedBodyBytes) {
+    is_keep_alive_ = false;
+    if (is_other_request_) {
+      Finish(call_result::kBroken, "the answer belongs to another request");
+    } else {
+      Finish(result_, result_detail_);
+    }
+  }
 }
 
 void upstream_call::Start() {
--- a/src/serving/upstream_call.h
+++ b/src/serving/upstream_call.h
@@ -123,6 +123,8 @@
   void FinishBody();
   /// Closes the connection. No further event is called.
   void Cancel();
+  /// Ends the call with `kBroken`: the owner cannot use the response.
+  void Break(const std::string& detail) { Finish(call_result::kBroken, detail); }
   /// Stops or resumes reading of the response.
   void Pause(bool is_paused);
 
@@ -139,6 +141,7 @@
   void SendHead();
   void OnBytes(std::string_view bytes);
   void OnHead(const answer_head& head);
+  void OnBody(std::string_view part);
   void OnClosed(stream_end end);
   void OnAnswerComplete();
   void ResetReader();
@@ -159,6 +162,7 @@
   call_result result_ = call_result::kAnswered;
   std::string result_detail_;
   int skipped_answers_ = 0;
+  std::size_t discarded_bytes_ = 0;  ///< Of bodies that are not passed to `on_body`.
   bool is_reused_ = false;
   bool is_sent_ = false;
   bool is_body_complete_ = false;
--- a/tests/support/scripted_upstream.cpp
+++ b/tests/support/scripted_upstream.cpp
@@ -6,7 +6,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
+#include <cerrno>
 #include <stdexcept>
 
 namespace corianderhoist {
@@ -32,6 +34,32 @@
   return false;
 }
 
+// Sends `repeated` again and again. Returns whether the peer closed the connection, false when the
+// test ends.
+bool SendUntilClosed(int descriptor,
+                     const std::string& repeated,
+                     const std::atomic<bool>& is_stopping) {
+  constexpr std::size_t kBlockBytes = 64UL << 10U;
+  std::string block;
+  while (block.size() < kBlockBytes) {
+    block += repeated;
+  }
+  std::size_t at = 0;
+  while (!is_stopping) {
+    pollfd writable{descriptor, POLLOUT, 0};
+    if (::poll(&writable, 1, kPollTimeoutMs) <= 0) {
+      continue;
+    }
+    const ssize_t sent =
+        ::send(descriptor, block.data() + at, block.size() - at, MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (sent < 0 && errno != EAGAIN) {
+      return true;
+    }
+    at = (at + static_cast<std::size_t>(std::max<ssize_t>(sent, 0))) % block.size();
+  }
+  return false;
+}
+
 // Removes a chunked body from the front of the buffer; false when it is incomplete.
 bool TakeChunkedBody(std::string& buffer, std::string& body) {
   std::size_t at = 0;
@@ -174,6 +202,9 @@
         }
         abandoned_ += is_stopping_ ? 0 : 1;
         return;
+      case after_answer::kFlood:
+        abandoned_ += SendUntilClosed(descriptor, answer.repeated, is_stopping_) ? 1 : 0;
+        return;
     }
   }
 }
--- a/tests/support/scripted_upstream.h
+++ b/tests/support/scripted_upstream.h
@@ -13,13 +13,20 @@
 namespace corianderhoist {
 
 /// What the upstream does with the connection after it has sent the bytes of an answer.
-enum class after_answer { kKeep, kClose, kReset, kHang };
+enum class after_answer {
+  kKeep,
+  kClose,
+  kReset,
+  kHang,   ///< Sends nothing more and waits for the peer to close.
+  kFlood,  ///< Sends `scripted_answer::repeated` until the peer closes.
+};
 
 /// The answer to one request.
 struct scripted_answer {
   std::string bytes;
   after_answer after = after_answer::kKeep;
   std::chrono::milliseconds delay{};
+  std::string repeated;
 };
 
 /// A request as received; a chunked body is decoded.
@@ -43,7 +50,8 @@
 
   std::uint16_t Port() const { return port_; }
   std::vector<scripted_request> Requests() const;
-  /// Number of connections that the peer closed after an answer with `after_answer::kHang`.
+  /// Number of connections that the peer closed after an answer with `after_answer::kHang` or
+  /// `after_answer::kFlood`.
   int AbandonedConnections() const { return abandoned_; }
 
  private:
--- a/tests/support/serving_fixture.cpp
+++ b/tests/support/serving_fixture.cpp
@@ -234,6 +234,23 @@
   return finish();
 }
 
+discarded_answer test_caller::Discard(milliseconds timeout) {
+  constexpr std::size_t kKeptBytes = 1000;
+  const auto start = std::chrono::steady_clock::now();
+  discarded_answer answer;
+  while (ReadMore(start + timeout)) {
+    answer.bytes += buffer_.size();
+    answer.first += buffer_.substr(0, kKeptBytes - std::min(kKeptBytes, answer.first.size()));
+    answer.last += buffer_.substr(buffer_.size() - std::min(kKeptBytes, buffer_.size()));
+    answer.last.erase(0, answer.last.size() - std::min(kKeptBytes, answer.last.size()));
+    buffer_.clear();
+  }
+  answer.duration =
+      std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - start);
+  answer.has_ended = answer.duration < timeout;
+  return answer;
+}
+
 bool test_caller::IsClosed(milliseconds timeout) {
   const auto deadline = std::chrono::steady_clock::now() + timeout;
   while (std::chrono::steady_clock::now() < deadline) {
--- a/tests/support/serving_fixture.h
+++ b/tests/support/serving_fixture.h
@@ -55,6 +55,15 @@
   std::string Header(const std::string& name) const;
 };
 
+/// The bytes that a caller received until its connection ended.
+struct discarded_answer {
+  bool has_ended = false;  ///< The connection ended within the timeout.
+  std::string first;       ///< The first bytes, enough for the head.
+  std::string last;        ///< The last bytes, enough for the end of a chunked body.
+  std::size_t bytes = 0;
+  std::chrono::milliseconds duration{};
+};
+
 /// A caller's connection with blocking reads.
 class test_caller {
  public:
@@ -66,6 +75,8 @@
   void Send(const std::string& bytes);
   /// Reads one answer; waits for `timeout` at most.
   caller_answer Receive(std::chrono::milliseconds timeout = std::chrono::seconds(5));
+  /// Reads and discards bytes until the connection ends; waits for `timeout` at most.
+  discarded_answer Discard(std::chrono::milliseconds timeout);
   /// Returns whether the peer closes the connection within `timeout`.
   bool IsClosed(std::chrono::milliseconds timeout);
 
--- a/tests/unit/serving/request_flow_test.cpp
+++ b/tests/unit/serving/request_flow_test.cpp
@@ -332,6 +332,75 @@
                                          CPPUNIT_ASSERT_EQUAL(0, fixture.Call({}).status);
                                        });
 
+/// An upstream that sends a head and then bytes without end.
+struct endless_case {
+  std::string name;
+  std::string head;  ///< After the attempt id and the signature.
+  std::string repeated;
+  int status;        ///< Status of the upstream's head.
+  bool is_streamed;  ///< The caller gets a part of the answer.
+};
+
+// An upstream in trouble sent 8.4 GB in 8 s, which were passed on long after the deadline.
+const test_table kEndlessAnswers(
+    "endless answer",
+    std::vector<endless_case>{
+        {"a body that ends with the connection", "\r\n", "x", 200, true},
+        {"a chunked body", "Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", 200, true},
+        {"a body of enormous length", "Content-Length: 99999999999999\r\n\r\n", "x", 200, true},
+        {"the body of a server error", "\r\n", "x", 500, false},
+        {"a refusal of the upstream", "X-Not-Executed: 1\r\n\r\n", "x", 503, false},
+        {"a success without a signature", "X-Signature-Missing: 1\r\n\r\n", "x", 203, false},
+        {"a head", "", "X: x\r\n", 200, false},
+    },
+    std::function([](const endless_case& row) {
+      serving_fixture fixture;
+      scripted_upstream& endless =
+          fixture.Add("u1", "reads", [&row](const scripted_request& request) {
+            scripted_answer answer;
+            answer.bytes = "HTTP/1.1 " + std::to_string(row.status) +
+                           " S\r\nX-Attempt-Id: " + request.Header("X-Attempt-Id") + "\r\n" +
+                           (row.status == 203 ? "" : "X-Signature: s\r\n") + row.head;
+            answer.after = after_answer::kFlood;
+            answer.repeated = row.repeated;
+            return answer;
+          });
+      fixture.Add("u2", "orders", Good());
+      fixture.Start();
+      test_caller caller(fixture.Port());
+      caller.Send(caller_request{.more_headers = "Connection: close\r\n"}.Bytes());
+      std::atomic<int> served = 0;
+      std::thread other([&] {
+        for (int i = 0; i < 5; ++i) {
+          const caller_answer answer =
+              fixture.Call({.method = "POST", .path = "/once/1", .id = "o" + std::to_string(i)});
+          served += answer.status == 200 ? 1 : 0;
+        }
+      });
+      constexpr milliseconds kRouteTimeout(1500);
+      const discarded_answer answer = caller.Discard(kRouteTimeout + milliseconds(1500));
+      other.join();
+      CPPUNIT_ASSERT_EQUAL_MESSAGE("other requests meanwhile", 5, served.load());
+      CPPUNIT_ASSERT_MESSAGE("ended at the deadline", answer.has_ended);
+      CPPUNIT_ASSERT_MESSAGE("an answer that cannot be used is not read until the deadline",
+                             row.is_streamed || answer.duration < milliseconds(1000));
+      CPPUNIT_ASSERT_MESSAGE("looks complete", !answer.last.ends_with("\r\n0\r\n\r\n"));
+      CPPUNIT_ASSERT_EQUAL(row.is_streamed, answer.first.starts_with("HTTP/1.1 200"));
+      const bool is_failure_expected = row.head.find("X-Not-Executed") == std::string::npos;
+      bool is_closed = false;
+      bool is_recorded = false;
+      for (int i = 0; i < 50 && !(is_closed && is_recorded == is_failure_expected); ++i) {
+        std::this_thread::sleep_for(milliseconds(20));
+        is_closed = endless.AbandonedConnections() >= 1;
+        const auto outcomes = fixture.Core().ReportedObservations().outcomes;
+        is_recorded = std::any_of(outcomes.begin(), outcomes.end(), [](const auto& outcome) {
+          return outcome.upstream == 1 && !IsSuccess(outcome.evidence);
+        });
+      }
+      CPPUNIT_ASSERT_MESSAGE("the upstream's connection is closed", is_closed);
+      CPPUNIT_ASSERT_EQUAL(is_failure_expected, is_recorded);
+    }));
+
 const test_table kIncompleteBody("answer", "a request is sent only when its body is complete", [] {
   serving_fixture fixture;
   scripted_upstream& upstream = fixture.Add("u1", "orders", Good());
