Count the calls and bytes of each method between VMs

The counters rpc.METHOD.calls, .sent_bytes and .received_bytes of the calling process show which messages its traffic consists of.

--- a/src/wire/rpc_channel.cpp
+++ b/src/wire/rpc_channel.cpp
@@ -1,4 +1,5 @@
 #include "base/log.h"
+#include "observe/metrics.h"
 #include "wire/http2_session.h"
 #include "wire/rpc.h"
 
@@ -9,6 +10,7 @@
 
 #include <algorithm>
 #include <deque>
+#include <map>
 #include <unordered_map>
 
 namespace corianderhoist {
@@ -21,7 +23,22 @@
 constexpr milliseconds kConnectTimeout(3000);
 constexpr std::string_view kStatusOk = "200";
 
+// Traffic of one method, both directions as seen by the client. Bytes are those of message bodies.
+struct method_traffic {
+  counter& calls;
+  counter& sent_bytes;
+  counter& received_bytes;
+};
+
+method_traffic TrafficOf(const std::string& method) {
+  metrics& registry = metrics::Instance();
+  return {registry.Counter("rpc." + method + ".calls"),
+          registry.Counter("rpc." + method + ".sent_bytes"),
+          registry.Counter("rpc." + method + ".received_bytes")};
+}
+
 struct pending_call {
+  method_traffic* traffic = nullptr;
   std::string path;
   std::string body;
   rpc_callback<std::string> callback;
@@ -56,6 +73,11 @@
                  rpc_callback<std::string> callback) {
     const std::uint64_t id = next_call++;
     pending_call& call = calls[id];
+    auto traffic = traffic_by_method.find(method);
+    if (traffic == traffic_by_method.end()) {
+      traffic = traffic_by_method.emplace(method, TrafficOf(method)).first;
+    }
+    call.traffic = &traffic->second;
     call.path = "/v1/" + std::move(method);
     call.body = std::move(body);
     call.callback = std::move(callback);
@@ -77,6 +99,8 @@
     if (found == calls.end()) {
       return;
     }
+    found->second.traffic->calls.Add();
+    found->second.traffic->sent_bytes.Add(found->second.body.size());
     const std::int32_t stream =
         session->SubmitRequest(found->second.path, std::move(found->second.body));
     if (stream < 0) {
@@ -173,6 +197,9 @@
     // In TLS 1.3 the client's handshake completes before the server has verified the client
     // certificate, so only an answer shows that the server accepted the connection.
     backoff = kInitialBackoff;
+    if (const auto call = calls.find(id); call != calls.end()) {
+      call->second.traffic->received_bytes.Add(body.size());
+    }
     CompleteCall(id, DecodeReply(status, std::move(body)));
   }
 
@@ -242,6 +269,7 @@
   std::string peer;
   std::unique_ptr<QTcpSocket> socket;
   std::unique_ptr<http2_session> session;
+  std::map<std::string, method_traffic> traffic_by_method;
   std::unordered_map<std::uint64_t, pending_call> calls;
   std::unordered_map<std::int32_t, std::uint64_t> call_by_stream;
   std::deque<std::uint64_t> queued_calls;
