Tell entry VMs of core VMs that join later

Cause: the list of core VMs was sent only with a new incarnation of the answering core VM. After the replacement of a core VM nobody would have heard of its successor.

Change: a watch call carries a digest of the addresses that the VM knows, and the answer has the list when it differs.

--- a/src/fleet/fleet_core_observations.cpp
+++ b/src/fleet/fleet_core_observations.cpp
@@ -76,10 +76,11 @@
   if (!is_known_here || known.limits_revision < limits_revision_) {
     reply.limits.push_back(limits_);
   }
-  if (!is_known_here) {
-    for (const group_member& member : status_.members) {
-      reply.cores.push_back(member.address);
-    }
+  for (const group_member& member : status_.members) {
+    reply.cores.push_back(member.address);
+  }
+  if (CoresDigest(reply.cores) == known.cores_digest) {
+    reply.cores.clear();
   }
   return reply;
 }
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -8,6 +8,7 @@
 /// - `fleet.join` (to the leader): requests membership for a machine.
 #pragma once
 
+#include "base/hash.h"
 #include "fleet/fleet_state.h"
 #include "fleet/health_filter.h"
 #include "fleet/membership_manager.h"
@@ -221,6 +222,7 @@
   std::uint64_t conditions_revision = 0;
   std::uint64_t limits_revision = 0;
   std::chrono::milliseconds hold{};  ///< Longest time until the answer.
+  std::uint64_t cores_digest = 0;    ///< `CoresDigest` of the core VMs that it knows.
 
   template <class Self, class Visitor>
   static void ForEachField(Self& self, Visitor&& visit) {
@@ -231,9 +233,19 @@
     visit(5, self.conditions_revision);
     visit(6, self.limits_revision);
     visit(7, self.hold);
+    visit(8, self.cores_digest);
   }
 };
 
+/// Identifies a set of addresses of core VMs, independent of their order.
+inline std::uint64_t CoresDigest(const std::vector<std::string>& addresses) {
+  std::uint64_t digest = 0;
+  for (const std::string& address : addresses) {
+    digest ^= FastHash(address);
+  }
+  return digest;
+}
+
 /// Answer to `fleet.watch`: what has changed since the state in the request.
 struct watch_reply {
   fleet_changes changes;
@@ -245,7 +257,8 @@
   std::vector<upstream_condition> conditions;  ///< Changed conditions only.
   std::uint64_t limits_revision = 0;
   std::vector<shared_limits> limits;  ///< One element if the limits have changed, else empty.
-  std::vector<std::string> cores;     ///< Addresses of all core VMs, if `core_incarnation` is new.
+  /// Addresses of all core VMs, if they differ from those that the entry VM knows.
+  std::vector<std::string> cores;
   /// False until the core VM has counted for `kMinCountingTime`; its limits are not reliable before
   /// that.
   bool is_counting = true;
--- a/src/serving/fleet_link.cpp
+++ b/src/serving/fleet_link.cpp
@@ -124,6 +124,7 @@
   watch_request request = is_measured ? view_.Known() : MakeProbeRequest();
   request.vm = settings_.vm;
   request.hold = is_measured ? kWatchHold : milliseconds(0);
+  request.cores_digest = cores_digest_;
   const steady_time sent_at = clock_.Now();
   const milliseconds timeout = is_measured ? kWatchHold + kWatchReplyGrace : kFirstProbeTimeout;
   ChannelOf(*chosen).Call<watch_reply>("fleet.watch", request, timeout,
@@ -151,6 +152,9 @@
 }
 
 void fleet_link::AddCores(const watch_reply& news) {
+  if (!news.cores.empty()) {
+    cores_digest_ = CoresDigest(news.cores);
+  }
   for (const std::string& address : news.cores) {
     Recover(
         [&]() -> result<void> {
@@ -206,6 +210,7 @@
     }
     watch_request request = view_.Known();
     request.vm = settings_.vm;
+    request.cores_digest = cores_digest_;
     const steady_time sent_at = clock_.Now();
     ChannelOf(*other).Call<watch_reply>(
         "fleet.watch", request, kProbeTimeout,
@@ -260,6 +265,7 @@
     }
     watch_request request = MakeProbeRequest();
     request.vm = settings_.vm;
+    request.cores_digest = cores_digest_;
     const steady_time sent_at = clock_.Now();
     ChannelOf(*other).Call<watch_reply>(
         "fleet.watch", request, kProbeTimeout,
--- a/src/serving/fleet_link.h
+++ b/src/serving/fleet_link.h
@@ -95,6 +95,7 @@
   const clock_source& clock_;
   std::map<endpoint, std::unique_ptr<core_vm>> cores_;
   core_vm* current_ = nullptr;
+  std::uint64_t cores_digest_ = 0;  ///< Of the list of core VMs received last.
   observations unsent_;
   std::vector<undelivered_counts> undelivered_;     ///< Counts of reports that failed.
   std::map<upstream_handle, std::uint32_t> loads_;  ///< Running requests; no entry for 0.
--- a/tests/support/core_group.cpp
+++ b/tests/support/core_group.cpp
@@ -128,6 +128,25 @@
   return document != nullptr ? document->version : 0;
 }
 
+watch_reply core_group::WatchAt(int number, const watch_request& request) {
+  io_loop loop("watch");
+  rpc_channel channel(loop, nullptr, {"127.0.0.1", PortOf(number)}, NameOf(number));
+  const auto reply = CallAndWait<watch_reply>([&](fleet_core::callback<watch_reply> done) {
+    channel.Call<watch_reply>("fleet.watch", request, kCallTimeout, std::move(done));
+  });
+  const auto* answered = std::get_if<watch_reply>(&reply);
+  return answered != nullptr ? *answered : watch_reply();
+}
+
+std::vector<std::string> core_group::CoresNamedBy(int number,
+                                                  const std::vector<std::string>& known) {
+  watch_request request;
+  request.vm = "entry";
+  request.core_incarnation = WatchAt(number, request).core_incarnation;
+  request.cores_digest = CoresDigest(known);
+  return WatchAt(number, request).cores;
+}
+
 bool core_group::AnnounceAt(int number, const upstream_notice& notice) {
   const auto reply = CallAndWait<done_reply>([&](fleet_core::callback<done_reply> done) {
     Core(number).Announce(notice, std::move(done));
--- a/tests/support/core_group.h
+++ b/tests/support/core_group.h
@@ -32,6 +32,10 @@
   bool PutPolicyAt(int number, std::uint64_t version);
   /// Returns the policy version that this member reads, or 0 if the read fails.
   std::uint64_t ReadPolicyVersionAt(int number);
+  /// Returns the answer of this member to an entry VM, or an empty one if the call fails.
+  watch_reply WatchAt(int number, const watch_request& request);
+  /// Returns the core VMs that this member names to an entry VM that knows it and `known`.
+  std::vector<std::string> CoresNamedBy(int number, const std::vector<std::string>& known);
   bool AnnounceAt(int number, const upstream_notice& notice);
   fleet_core& Core(int number) { return *cores_.at(number); }
   bool IsRunning(int number) const { return cores_.contains(number); }
--- a/tests/support/serving_fixture.cpp
+++ b/tests/support/serving_fixture.cpp
@@ -69,6 +69,7 @@
 }
 
 void fake_core::Answer(const watch_request& request, const rpc_callback<watch_reply>& respond) {
+  ++watch_calls_;
   if (is_silent_) {
     return;
   }
@@ -88,6 +89,9 @@
         reply.changes.upstreams.push_back(entry);
       }
     }
+    if (request.cores_digest != CoresDigest(cores_)) {
+      reply.cores = cores_;
+    }
     reply.limits_revision = limits_revision_;
     if (request.limits_revision < limits_revision_) {
       reply.limits = {limits_};
@@ -131,6 +135,11 @@
   ++limits_revision_;
 }
 
+void fake_core::SetCores(std::vector<std::string> addresses) {
+  const std::lock_guard guard(lock_);
+  cores_ = std::move(addresses);
+}
+
 observations fake_core::ReportedObservations() const {
   const std::lock_guard guard(lock_);
   return observations_;
@@ -282,6 +291,10 @@
 
 // ---- serving_fixture ----
 
+const std::string& serving_fixture::PolicyDocument() {
+  return kPolicyDocument;
+}
+
 serving_fixture::serving_fixture() : core_(std::make_unique<fake_core>(kPolicyDocument, 1)) {}
 
 scripted_upstream& serving_fixture::Add(
--- a/tests/support/serving_fixture.h
+++ b/tests/support/serving_fixture.h
@@ -27,6 +27,9 @@
   void Drain(const std::string& id);
   void SetLimits(shared_limits limits);
   void SetPolicy(std::string document, std::uint64_t version);
+  /// Sets the core VMs that are named to entry VMs.
+  void SetCores(std::vector<std::string> addresses);
+  std::size_t WatchCalls() const { return watch_calls_; }
   /// Stops or resumes answering watch requests.
   void SetSilent(bool is_silent) { is_silent_ = is_silent; }
   observations ReportedObservations() const;
@@ -39,7 +42,9 @@
   shared_limits limits_;
   std::uint64_t limits_revision_ = 1;
   observations observations_;
+  std::vector<std::string> cores_;
   std::atomic<bool> is_silent_ = false;
+  std::atomic<std::size_t> watch_calls_ = 0;
   endpoint address_;
   rpc_server server_{nullptr, 1};
   io_loop loop_{"fake core"};  ///< Destroyed before the server, which its tasks reference.
@@ -104,6 +109,7 @@
 class serving_fixture {
  public:
   serving_fixture();
+  static const std::string& PolicyDocument();
 
   /// Adds an upstream of the service with a script.
   scripted_upstream& Add(const std::string& id,
--- a/tests/unit/fleet/fleet_core_test.cpp
+++ b/tests/unit/fleet/fleet_core_test.cpp
@@ -137,6 +137,22 @@
                              CPPUNIT_ASSERT_EQUAL(std::uint64_t(7), group.ReadPolicyVersionAt(6));
                            });
 
+// Eight of 48 entry VMs stayed with a core VM in another data centre, because the one in their own
+// had joined after they had received the list.
+const test_table kJoinedLater("core group", "a member that joins later is named to entry VMs", [] {
+  core_group group;
+  for (int number = 1; number <= 3; ++number) {
+    group.Start(number, true);
+  }
+  group.WaitUntilOrThrow("three voters", [&] { return group.VoterCount() == 3; });
+  const auto known = group.CoresNamedBy(1, {});
+  CPPUNIT_ASSERT_EQUAL(std::size_t(3), known.size());
+  CPPUNIT_ASSERT_MESSAGE("a known list is not sent again", group.CoresNamedBy(1, known).empty());
+  group.Start(4, true);
+  group.WaitUntilOrThrow("the fourth member is named",
+                         [&] { return group.CoresNamedBy(1, known).size() == 4; });
+});
+
 const test_table kNoQuorum("core group", "without a quorum nothing is acknowledged or read", [] {
   core_group group;
   StartFive(group);
