Price the bytes of a placement in both directions, at the middle of the range of prices

Cause: a placement counted the bytes of the answer alone, at the prices of the first deployment.

Change: the bytes are those of the request with its head and of the expected answer. No process is told the prices, so the cost assumed is the middle of the range of the known deployments, which has the smallest largest regret (serving/transfer_cost.h).

Tests: 'transfer cost' and 'the bytes of a large order keep it nearby', which fails without the request's bytes.

--- a/src/serving/placement.h
+++ b/src/serving/placement.h
@@ -28,8 +28,8 @@
 /// Costs of a placement, as fractions of the value of a request.
 struct placement_costs {
   double failure = 1;            ///< A failed attempt; 1 if it cannot be repeated.
-  double other_data_centre = 0;  ///< Traffic of the response.
-  double other_region = 0;       ///< Traffic of the response.
+  double other_data_centre = 0;  ///< Traffic of request and response.
+  double other_region = 0;       ///< Traffic of request and response.
   double connection = 0;         ///< A new connection.
 };
 
--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -45,6 +45,8 @@
 constexpr double kRepeatableFailureCost = 0.35;
 constexpr double kAnswerSizeSmoothing = 0.1;
 constexpr double kDefaultAnswerKilobytes = 2;
+constexpr std::size_t kAnswerHeadBytes = 250;
+constexpr std::size_t kHeaderSeparatorBytes = 4;  // ": " and the end of the line.
 constexpr double kBytesPerKilobyte = 1000;
 constexpr double kRelativeLatencyScale = 100;
 // Jitter, so that callers which are refused at the same time do not retry at the same time.
@@ -259,14 +261,13 @@
       upstreams.push_back(upstream);
     }
   }
-  const auto learned = context_.answer_kilobytes.find(route_->name);
-  const double kilobytes =
-      learned == context_.answer_kilobytes.end() ? kDefaultAnswerKilobytes : learned->second;
+  const double kilobytes = TransferKilobytes();
   placement_costs costs;
   costs.failure = may_fail ? kRepeatableFailureCost : 1;
   costs.connection = kNewConnectionCost;
-  costs.other_data_centre = context_.settings.cross_data_centre_cost_per_kilobyte * kilobytes;
-  costs.other_region = context_.settings.cross_region_cost_per_kilobyte * kilobytes;
+  costs.other_data_centre =
+      AssumedCostPerKilobyte(context_.settings.cross_data_centre_cost) * kilobytes;
+  costs.other_region = AssumedCostPerKilobyte(context_.settings.cross_region_cost) * kilobytes;
   const auto chosen = ChooseUpstream(candidates, costs, context_.random);
   if (!chosen) {
     return false;
@@ -291,6 +292,18 @@
   return true;
 }
 
+// Traffic of one attempt in both directions. The answer's size is learned by route.
+double request_flow::TransferKilobytes() const {
+  std::uint64_t bytes = kAnswerHeadBytes + request_.target.size();
+  for (const header_field& field : request_.headers) {
+    bytes += field.name.size() + field.value.size() + kHeaderSeparatorBytes;
+  }
+  bytes += std::max<std::uint64_t>(buffered_body_.size(), body_->Length().value_or(0));
+  const auto learned = context_.answer_kilobytes.find(route_->name);
+  return static_cast<double>(bytes) / kBytesPerKilobyte +
+         (learned == context_.answer_kilobytes.end() ? kDefaultAnswerKilobytes : learned->second);
+}
+
 milliseconds request_flow::MaxIdleTime() const {
   return IsIdempotent() ? kMaxIdleForIdempotent : kMaxIdleForNonIdempotent;
 }
--- a/src/serving/request_flow.h
+++ b/src/serving/request_flow.h
@@ -10,6 +10,7 @@
 #include "serving/fleet_link.h"
 #include "serving/fleet_view.h"
 #include "serving/repeat_budget.h"
+#include "serving/transfer_cost.h"
 #include "serving/upstream_call.h"
 #include "serving/upstream_tracker.h"
 
@@ -42,9 +43,8 @@
   upstream_header_names upstreams;
   admission_settings admission;
   repeat_bound repeats;
-  /// Cost of a kilobyte of traffic from elsewhere, as a fraction of the value of a request.
-  double cross_data_centre_cost_per_kilobyte = 0;
-  double cross_region_cost_per_kilobyte = 0;
+  cost_range cross_data_centre_cost;  ///< Of traffic with another data centre of the region.
+  cost_range cross_region_cost;       ///< Of traffic with another region.
 };
 
 class request_flow;
@@ -107,6 +107,7 @@
   // Attempts.
   bool StartNextAttempt(bool is_repeat);
   void NoteFailure();
+  double TransferKilobytes() const;
   call_plan MakePlan(const known_upstream& upstream) const;
   /// The longest time for which a connection may have been idle to be reused for this request.
   std::chrono::milliseconds MaxIdleTime() const;
--- a/tests/support/serving_fixture.cpp
+++ b/tests/support/serving_fixture.cpp
@@ -106,14 +106,17 @@
   ++state_.index;
 }
 
-void fake_core::AddUpstream(const std::string& id, const std::string& service, std::uint16_t port) {
+void fake_core::AddUpstream(const std::string& id,
+                            const std::string& service,
+                            std::uint16_t port,
+                            const std::string& data_centre) {
   const std::lock_guard guard(lock_);
   upstream_entry entry;
   entry.handle = static_cast<upstream_handle>(state_.upstreams.size() + 1);
   entry.id = id;
   entry.address = "127.0.0.1:" + std::to_string(port);
   entry.service = service;
-  entry.data_centre = "dc1";
+  entry.data_centre = data_centre;
   entry.slots = 4;
   entry.changed_index = ++state_.index;
   state_.upstreams.push_back(entry);
@@ -300,9 +303,10 @@
 scripted_upstream& serving_fixture::Add(
     const std::string& id,
     const std::string& service,
-    std::function<scripted_answer(const scripted_request&)> script) {
+    std::function<scripted_answer(const scripted_request&)> script,
+    const std::string& data_centre) {
   upstreams_.push_back(std::make_unique<scripted_upstream>(std::move(script)));
-  core_->AddUpstream(id, service, upstreams_.back()->Port());
+  core_->AddUpstream(id, service, upstreams_.back()->Port(), data_centre);
   return *upstreams_.back();
 }
 
@@ -311,7 +315,8 @@
   settings.listen = {"127.0.0.1", 0};
   settings.link = {"vm1", {core_->Address()}};
   settings.serving.vm = "vm1";
-  settings.serving.place = {"dc1", "region1", {{"dc1", "region1"}}};
+  settings.serving.place = {"dc1", "region1", {{"dc1", "region1"}, {"dc2", "region1"}}};
+  settings.serving.cross_data_centre_cost = {0.05, 0.05};
   settings.serving.callers = platform::CallerHeaderNames();
   settings.serving.upstreams = platform::UpstreamHeaderNames();
   settings.serving.repeats = {0.2, milliseconds(10'000), 1000};
--- a/tests/support/serving_fixture.h
+++ b/tests/support/serving_fixture.h
@@ -22,7 +22,10 @@
 
   const endpoint& Address() const { return address_; }
   /// Adds an upstream that is ready.
-  void AddUpstream(const std::string& id, const std::string& service, std::uint16_t port);
+  void AddUpstream(const std::string& id,
+                   const std::string& service,
+                   std::uint16_t port,
+                   const std::string& data_centre = "dc1");
   /// Marks an upstream as draining.
   void Drain(const std::string& id);
   void SetLimits(shared_limits limits);
@@ -114,7 +117,8 @@
   /// Adds an upstream of the service with a script.
   scripted_upstream& Add(const std::string& id,
                          const std::string& service,
-                         std::function<scripted_answer(const scripted_request&)> script);
+                         std::function<scripted_answer(const scripted_request&)> script,
+                         const std::string& data_centre = "dc1");
   /// Starts the VM and waits until it is ready.
   void Start();
   caller_answer Call(const caller_request& request);
--- a/tests/unit/serving/placement_test.cpp
+++ b/tests/unit/serving/placement_test.cpp
@@ -109,6 +109,59 @@
   CPPUNIT_ASSERT(counts[2] > 1850 && counts[2] < 2150);
 });
 
+/// A request of which the upstream nearby fails with a probability and a distant one does not.
+struct transfer_case {
+  std::string name;
+  double failure;
+  double kilobytes;
+  network_distance chosen;
+};
+
+// Orders of 4 KB with answers of 0.4 KB went to other data centres as if they cost nothing, because
+// only the bytes of answers were counted; the traffic took up to half of the value of a day.
+const test_table kTransfers(
+    "transfer cost",
+    std::vector<transfer_case>{
+        {"a small read avoids a doubtful upstream", 0.15, 1, network_distance::kSameRegion},
+        {"a large order accepts a doubtful upstream", 0.15, 4.6, network_distance::kSameDataCentre},
+        {"a large order avoids a failing upstream", 0.8, 4.6, network_distance::kSameRegion},
+    },
+    std::function([](const transfer_case& row) {
+      constexpr cost_range kRange{0.007, 0.09};
+      placement_costs costs;
+      costs.other_data_centre = AssumedCostPerKilobyte(kRange) * row.kilobytes;
+      std::mt19937_64 random(1);
+      const std::vector<placement_candidate> candidates = {
+          Candidate(row.failure), Candidate(0, network_distance::kSameRegion)};
+      const auto chosen = ChooseUpstream(candidates, costs, random);
+      CPPUNIT_ASSERT(candidates.at(*chosen).distance == row.chosen);
+    }));
+
+// The largest loss of assuming `assumed` over all true costs in the range and excess losses nearby.
+double LargestRegret(double assumed, cost_range range) {
+  double largest = 0;
+  constexpr int kSteps = 40;
+  for (int i = 0; i <= kSteps; ++i) {
+    const double cost = range.least + (range.most - range.least) * i / kSteps;
+    for (int j = 0; j <= 2 * kSteps; ++j) {
+      const double excess = range.most * j / kSteps;
+      const double taken = excess < assumed ? excess : cost;
+      largest = std::max(largest, taken - std::min(excess, cost));
+    }
+  }
+  return largest;
+}
+
+const test_table kRegret("transfer cost", "no other cost has a smaller largest regret", [] {
+  for (const cost_range range : {cost_range{0.007, 0.09}, {0.055, 0.09}, {0.01, 0.01}}) {
+    const double own = LargestRegret(AssumedCostPerKilobyte(range), range);
+    for (int i = 0; i <= 20; ++i) {
+      const double other = range.least + (range.most - range.least) * i / 20;
+      CPPUNIT_ASSERT(own <= LargestRegret(other, range) + 0.002);
+    }
+  }
+});
+
 struct split_case {
   std::string name;
   std::vector<std::uint32_t> weights;
--- a/tests/unit/serving/request_flow_test.cpp
+++ b/tests/unit/serving/request_flow_test.cpp
@@ -157,6 +157,33 @@
                              left > 1300 && left <= 1500);
     });
 
+struct distance_case {
+  std::string name;
+  std::size_t body_bytes;
+  bool is_sent_nearby;
+};
+
+// The upstream nearby has just failed a request, so a small order goes to the other data centre.
+const test_table kDistances("request flow",
+                            std::vector<distance_case>{
+                                {"a small order avoids a failing upstream nearby", 10, false},
+                                {"the bytes of a large order keep it nearby", 60'000, true},
+                            },
+                            std::function([](const distance_case& row) {
+                              serving_fixture fixture;
+                              scripted_upstream& nearby =
+                                  fixture.Add("u1", "orders", Status(500), "dc1");
+                              fixture.Add("u2", "orders", Good(), "dc2");
+                              fixture.Start();
+                              caller_request order{.method = "POST", .path = "/once/1"};
+                              CPPUNIT_ASSERT_EQUAL(500, fixture.Call(order).status);
+                              order.id = "id2";
+                              order.body = std::string(row.body_bytes, 'b');
+                              fixture.Call(order);
+                              CPPUNIT_ASSERT_EQUAL(std::size_t(row.is_sent_nearby ? 2 : 1),
+                                                   nearby.Requests().size());
+                            }));
+
 struct refusal_case {
   std::string name;
   caller_request request;
