Pace the answers to watch calls by the urgency of the news

Cause: each change of a load, a latency or a trial of any upstream was sent to every entry VM within 40 ms. The 16 VMs without a core VM in their data centre took them across its border. A core VM also recomputed and searched the conditions of all upstreams for each report and each answer.

Change: the policy, the roster, limits and failures of upstreams in the VM's own data centre are answered at once, as before. Hints are answered every 100 ms, to another data centre every 250 ms, and at most 300 times a second by a core VM (fleet/answer_pacing). Conditions are recomputed for the upstreams that a report names and found by their revision, and the roster is copied when it changes.

--- a/src/fleet/fleet_core.cpp
+++ b/src/fleet/fleet_core.cpp
@@ -54,7 +54,9 @@
       loop_("fleet"),
       server_(nullptr, kServerThreads),
       membership_(settings_.voters),
-      health_(settings_.announcement_interval, clock.Now()) {}
+      health_(settings_.announcement_interval, clock.Now()) {
+  versions_.incarnation = incarnation_;
+}
 
 fleet_core::~fleet_core() {
   loop_.RunAndWait([this] {
@@ -140,6 +142,7 @@
     return;
   }
   status_ = replica_->Status();
+  RefreshRoster();
   const steady_time now = clock_.Now();
   const bool is_leader = replica_->LeadingTerm() != 0;
   if (is_leader && !std::exchange(was_leader_, is_leader)) {
@@ -155,9 +158,7 @@
   RefreshPolicy();
   RefreshLimits();
   PlanTrials();
-  if (health_.Refresh(now)) {
-    ScheduleAnswers();
-  }
+  OnConditionsChanged(health_.Refresh(now));
   ExpireLoads();
   ShareInRegion();
   ShareAcrossRegions();
--- a/src/fleet/fleet_core.h
+++ b/src/fleet/fleet_core.h
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "consensus/replica.h"
+#include "fleet/answer_pacing.h"
 #include "fleet/fleet_state.h"
 #include "fleet/load_table.h"
 #include "fleet/membership_manager.h"
@@ -29,6 +30,7 @@
 
 struct fleet_core_settings {
   std::string name;  ///< Name of this VM in the group; unique and stable across restarts.
+  std::string data_centre;
   std::string region;
   endpoint listen;               ///< Address that serves the `raft.*` and `fleet.*` calls.
   std::filesystem::path folder;  ///< Data folder.
@@ -109,7 +111,8 @@
   void OnJoin(const join_request& request, const rpc_callback<done_reply>& respond);
   // Watch calls and aggregation (fleet_core_observations.cpp).
   void OnWatch(watch_request request, rpc_callback<watch_reply> respond);
-  bool HasChangesFor(const watcher& waiting) const;
+  const core_versions& Versions();
+  void OnConditionsChanged(const condition_changes& changes);
   void AnswerWatchers();
   /// Answers the watchers for which `is_due` returns true.
   template <class Condition>
@@ -144,6 +147,7 @@
   void ExpireLoads();
   void RefreshLimits();
   void RefreshPolicy();
+  void RefreshRoster();
   void PlanTrials();
   void ExpireSilent();
   std::uint32_t CountActiveVms() const;
@@ -172,6 +176,10 @@
   usage_ledger usage_;           ///< Counts of all VMs, as far as they have arrived.
   usage_ledger regional_usage_;  ///< Counts of this region's VMs, which arrive first.
   policy_ptr policy_;
+  std::vector<upstream_entry> roster_;  ///< As of `roster_index_`.
+  std::uint64_t roster_index_ = 0;
+  std::map<upstream_handle, std::string> data_centre_of_;  ///< Of the upstreams in `roster_`.
+  core_versions versions_;  ///< Of what the answers to watch calls contain.
   std::vector<watcher> watchers_;
   std::vector<upstream_notice> queued_notices_;
   std::vector<callback<done_reply>> queued_callbacks_;
--- a/src/fleet/fleet_core_observations.cpp
+++ b/src/fleet/fleet_core_observations.cpp
@@ -10,6 +10,7 @@
 namespace corianderhoist {
 namespace {
 
+using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
 // Changes are batched for this long before watch calls are answered, so that a burst of failures
@@ -39,23 +40,35 @@
     waiting.respond(MakeReply(waiting));
     return;
   }
-  const bool has_changes = HasChangesFor(waiting);
+  const bool has_news = NewsFor(waiting.request, Versions()) != pending_news::kNone;
   // A VM has at most one watch call in progress, so an older one has been abandoned.
   std::erase_if(watchers_,
                 [&](const watcher& other) { return other.request.vm == waiting.request.vm; });
   watchers_.push_back(std::move(waiting));
-  if (has_changes) {
+  if (has_news) {
     ScheduleAnswers();
   } else {
     loop_.After(hold, [this] { AnswerExpiredWatchers(); });
   }
 }
 
-bool fleet_core::HasChangesFor(const watcher& waiting) const {
-  const watch_request& known = waiting.request;
-  return known.core_incarnation != incarnation_ || known.policy_version < state_.PolicyVersion() ||
-         known.roster_index < state_.AppliedIndex() ||
-         known.conditions_revision < health_.Revision() || known.limits_revision < limits_revision_;
+const core_versions& fleet_core::Versions() {
+  versions_.policy_version = state_.PolicyVersion();
+  versions_.roster_index = state_.AppliedIndex();
+  versions_.limits_revision = limits_revision_;
+  versions_.conditions_revision = health_.Revision();
+  return versions_;
+}
+
+void fleet_core::OnConditionsChanged(const condition_changes& changes) {
+  for (const upstream_handle upstream : changes.failing) {
+    if (const auto found = data_centre_of_.find(upstream); found != data_centre_of_.end()) {
+      versions_.failure_revisions[found->second] = health_.Revision();
+    }
+  }
+  if (changes.has_changed) {
+    ScheduleAnswers();
+  }
 }
 
 watch_reply fleet_core::MakeReply(const watcher& waiting) const {
@@ -66,7 +79,7 @@
   const steady_time fresh_at = replica_->FreshAt();
   watch_reply reply;
   reply.age = std::chrono::ceil<milliseconds>(now - std::min(fresh_at, now));
-  reply.held = std::chrono::duration_cast<milliseconds>(now - waiting.arrived_at);
+  reply.held = duration_cast<milliseconds>(now - waiting.arrived_at);
   reply.core_incarnation = incarnation_;
   reply.is_counting = now - started_at_ >= kMinCountingTime;
   reply.changes = state_.ChangesSince(known.policy_version, known.roster_index);
@@ -102,8 +115,15 @@
   is_answer_scheduled_ = false;
   const steady_time now = clock_.Now();
   next_answer_ = now + kMinAnswerInterval;
-  AnswerWatchersIf(
-      [&](const watcher& waiting) { return now >= waiting.deadline || HasChangesFor(waiting); });
+  const std::size_t count = watchers_.size();
+  const core_versions& current = Versions();
+  AnswerWatchersIf([&](const watcher& waiting) {
+    const bool is_same_data_centre = waiting.request.data_centre == settings_.data_centre;
+    return IsAnswerDue(NewsFor(waiting.request, current),
+                       duration_cast<milliseconds>(now - waiting.arrived_at),
+                       HintInterval(is_same_data_centre, count),
+                       duration_cast<milliseconds>(waiting.deadline - waiting.arrived_at));
+  });
 }
 
 void fleet_core::AnswerExpiredWatchers() {
@@ -159,9 +179,7 @@
   if (!seen.crashes.empty() || (has_counts && now >= next_limits_)) {
     RefreshLimits();
   }
-  if (health_.Refresh(now)) {
-    ScheduleAnswers();
-  }
+  OnConditionsChanged(health_.RefreshObserved(now));
 }
 
 void fleet_core::OnReport(report_request request) {
@@ -235,7 +253,7 @@
   bound.admitted_rate = std::max(all.admitted_rate, own.admitted_rate * ratio);
   bound.demand_rate = std::max(all.demand_rate, own.demand_rate * ratio);
   return WithAssumedEarlierUsage(bound, limit, settings_.rates,
-                                 std::chrono::duration_cast<milliseconds>(now - started_at_));
+                                 duration_cast<milliseconds>(now - started_at_));
 }
 
 service_usage fleet_core::ServiceUsageOf(const std::string& service) const {
@@ -302,9 +320,22 @@
   ScheduleAnswers();
 }
 
+void fleet_core::RefreshRoster() {
+  const std::uint64_t index = state_.AppliedIndex();
+  if (index == roster_index_) {
+    return;
+  }
+  roster_index_ = index;
+  roster_ = state_.Upstreams();
+  data_centre_of_.clear();
+  for (const upstream_entry& entry : roster_) {
+    data_centre_of_.emplace(entry.handle, entry.data_centre);
+  }
+}
+
 void fleet_core::PlanTrials() {
   std::map<std::string, std::vector<upstream_handle>> services;
-  for (const upstream_entry& entry : state_.Upstreams()) {
+  for (const upstream_entry& entry : roster_) {
     if (entry.state == upstream_state::kReady) {
       services[entry.service].push_back(entry.handle);
     }
@@ -324,7 +355,7 @@
   std::set<upstream_handle> known;
   fleet_command command;
   const auto silent = health_.SilentFor(kUpstreamSilenceTimeout, now);
-  for (const upstream_entry& entry : state_.Upstreams()) {
+  for (const upstream_entry& entry : roster_) {
     if (entry.state == upstream_state::kGone) {
       continue;
     }
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -223,6 +223,7 @@
   std::uint64_t limits_revision = 0;
   std::chrono::milliseconds hold{};  ///< Longest time until the answer.
   std::uint64_t cores_digest = 0;    ///< `CoresDigest` of the core VMs that it knows.
+  std::string data_centre;           ///< Of the entry VM.
 
   template <class Self, class Visitor>
   static void ForEachField(Self& self, Visitor&& visit) {
@@ -234,6 +235,7 @@
     visit(6, self.limits_revision);
     visit(7, self.hold);
     visit(8, self.cores_digest);
+    visit(9, self.data_centre);
   }
 };
 
--- a/src/fleet/upstream_health_table.cpp
+++ b/src/fleet/upstream_health_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace corianderhoist {
 namespace {
@@ -62,6 +63,12 @@
          published.trial != current.trial;
 }
 
+// Whether requests have to be kept away from the upstream, unlike before.
+bool IsWorse(const upstream_condition& published, const upstream_condition& current) {
+  return current.failing >= published.failing + kMinPublishedFailingChange ||
+         (current.is_silent && !published.is_silent);
+}
+
 }  // namespace
 
 upstream_health_table::upstream_health_table(milliseconds announcement_interval, steady_time now)
@@ -73,6 +80,7 @@
 }
 
 void upstream_health_table::Observe(const attempt_outcome& outcome, steady_time now) {
+  observed_.insert(outcome.upstream);
   record& entry = RecordOf(outcome.upstream, now);
   entry.health.Observe(outcome.evidence, now);
   // Load reports show the start of a long request; a short one may appear only as an outcome.
@@ -103,6 +111,7 @@
 void upstream_health_table::SetRunning(upstream_handle upstream,
                                        std::uint32_t running,
                                        steady_time now) {
+  observed_.insert(upstream);
   record& entry = RecordOf(upstream, now);
   entry.started_at = running > entry.running ? now : entry.started_at;
   entry.used_at = now;
@@ -111,6 +120,7 @@
 
 void upstream_health_table::Retain(const std::set<upstream_handle>& known) {
   std::erase_if(records_, [&](const auto& item) { return !known.contains(item.first); });
+  std::erase_if(by_revision_, [&](const auto& item) { return !known.contains(item.second); });
 }
 
 upstream_condition upstream_health_table::ConditionOf(upstream_handle upstream,
@@ -186,25 +196,45 @@
   }
 }
 
-bool upstream_health_table::Refresh(steady_time now) {
-  bool has_changed = false;
+void upstream_health_table::RefreshRecord(upstream_handle upstream,
+                                          record& entry,
+                                          steady_time now,
+                                          condition_changes& changes) {
+  const upstream_condition current = ConditionOf(upstream, entry, now);
+  if (entry.revision != 0 && !IsSignificantChange(entry.published, current)) {
+    return;
+  }
+  if (IsWorse(entry.published, current)) {
+    changes.failing.push_back(upstream);
+  }
+  by_revision_.erase(entry.revision);
+  entry.published = current;
+  entry.revision = ++revision_;
+  by_revision_.emplace(entry.revision, upstream);
+  changes.has_changed = true;
+}
+
+condition_changes upstream_health_table::Refresh(steady_time now) {
+  condition_changes changes;
+  observed_.clear();
   for (auto& [upstream, entry] : records_) {
-    const upstream_condition current = ConditionOf(upstream, entry, now);
-    if (entry.revision == 0 || IsSignificantChange(entry.published, current)) {
-      entry.published = current;
-      entry.revision = ++revision_;
-      has_changed = true;
-    }
+    RefreshRecord(upstream, entry, now, changes);
+  }
+  return changes;
+}
+
+condition_changes upstream_health_table::RefreshObserved(steady_time now) {
+  condition_changes changes;
+  for (const upstream_handle upstream : std::exchange(observed_, {})) {
+    RefreshRecord(upstream, RecordOf(upstream, now), now, changes);
   }
-  return has_changed;
+  return changes;
 }
 
 std::vector<upstream_condition> upstream_health_table::ChangedSince(std::uint64_t revision) const {
   std::vector<upstream_condition> changed;
-  for (const auto& [upstream, entry] : records_) {
-    if (entry.revision > revision) {
-      changed.push_back(entry.published);
-    }
+  for (auto each = by_revision_.upper_bound(revision); each != by_revision_.end(); ++each) {
+    changed.push_back(records_.at(each->second).published);
   }
   return changed;
 }
--- a/src/fleet/upstream_health_table.h
+++ b/src/fleet/upstream_health_table.h
@@ -15,6 +15,12 @@
 
 namespace corianderhoist {
 
+/// Result of a refresh of conditions.
+struct condition_changes {
+  bool has_changed = false;
+  std::vector<upstream_handle> failing;  ///< Found to be failing or silent.
+};
+
 /// Health of each upstream as seen by all VMs. Every change of a condition gets a revision, so that
 /// an entry VM can request only the changes it lacks. Not thread safe.
 class upstream_health_table {
@@ -39,8 +45,10 @@
   /// that a recovered upstream is trusted again after a few requests.
   void PlanTrials(const std::vector<upstream_handle>& service, bool is_degraded, steady_time now);
 
-  /// Recomputes all conditions, which also depend on the time. Returns whether any has changed.
-  bool Refresh(steady_time now);
+  /// Recomputes all conditions, which also depend on the time.
+  condition_changes Refresh(steady_time now);
+  /// Recomputes the conditions of upstreams with outcomes or loads since the last call.
+  condition_changes RefreshObserved(steady_time now);
 
   std::uint64_t Revision() const { return revision_; }
   /// Conditions with a revision above `revision`.
@@ -70,6 +78,10 @@
 
   upstream_trial ChooseTrial(const record& entry, bool is_degraded, steady_time now) const;
   record& RecordOf(upstream_handle upstream, steady_time now);
+  void RefreshRecord(upstream_handle upstream,
+                     record& entry,
+                     steady_time now,
+                     condition_changes& changes);
   upstream_condition ConditionOf(upstream_handle upstream,
                                  const record& entry,
                                  steady_time now) const;
@@ -77,6 +89,8 @@
   const std::chrono::milliseconds announcement_interval_;
   const steady_time started_;
   std::map<upstream_handle, record> records_;
+  std::set<upstream_handle> observed_;  ///< Since the last refresh.
+  std::map<std::uint64_t, upstream_handle> by_revision_;
   std::uint64_t revision_ = 0;
 };
 
--- a/src/serving/fleet_link.cpp
+++ b/src/serving/fleet_link.cpp
@@ -125,6 +125,7 @@
   request.vm = settings_.vm;
   request.hold = is_measured ? kWatchHold : milliseconds(0);
   request.cores_digest = cores_digest_;
+  request.data_centre = settings_.data_centre;
   const steady_time sent_at = clock_.Now();
   const milliseconds timeout = is_measured ? kWatchHold + kWatchReplyGrace : kFirstProbeTimeout;
   ChannelOf(*chosen).Call<watch_reply>("fleet.watch", request, timeout,
@@ -211,6 +212,7 @@
     watch_request request = view_.Known();
     request.vm = settings_.vm;
     request.cores_digest = cores_digest_;
+    request.data_centre = settings_.data_centre;
     const steady_time sent_at = clock_.Now();
     ChannelOf(*other).Call<watch_reply>(
         "fleet.watch", request, kProbeTimeout,
@@ -266,6 +268,7 @@
     watch_request request = MakeProbeRequest();
     request.vm = settings_.vm;
     request.cores_digest = cores_digest_;
+    request.data_centre = settings_.data_centre;
     const steady_time sent_at = clock_.Now();
     ChannelOf(*other).Call<watch_reply>(
         "fleet.watch", request, kProbeTimeout,
--- a/src/serving/fleet_link.h
+++ b/src/serving/fleet_link.h
@@ -19,6 +19,7 @@
 
 struct fleet_link_settings {
   std::string vm;               ///< Name of this entry VM.
+  std::string data_centre;      ///< Of this entry VM.
   std::vector<endpoint> seeds;  ///< Initial core VM addresses; may be unreachable or outdated.
 };
 
--- a/tests/support/core_group.cpp
+++ b/tests/support/core_group.cpp
@@ -76,6 +76,7 @@
 void core_group::Start(int number, bool may_bootstrap) {
   fleet_core_settings settings;
   settings.name = NameOf(number);
+  settings.data_centre = "dc" + std::to_string(number);
   settings.region = "region-" + std::to_string(number % 2);
   settings.listen = {"127.0.0.1", PortOf(number)};
   settings.folder = folder_ / NameOf(number);
--- a/tests/support/serving_fixture.cpp
+++ b/tests/support/serving_fixture.cpp
@@ -313,7 +313,7 @@
 void serving_fixture::Start() {
   serving_vm_settings settings;
   settings.listen = {"127.0.0.1", 0};
-  settings.link = {"vm1", {core_->Address()}};
+  settings.link = {"vm1", "dc1", {core_->Address()}};
   settings.serving.vm = "vm1";
   settings.serving.place = {"dc1", "region1", {{"dc1", "region1"}, {"dc2", "region1"}}};
   settings.serving.cross_data_centre_cost = {0.05, 0.05};
--- a/tests/unit/fleet/health_filter_test.cpp
+++ b/tests/unit/fleet/health_filter_test.cpp
@@ -272,11 +272,11 @@
                               upstream_health_table pool(milliseconds(1500), clock.Now());
                               pool.Observe({1, kGood, 30}, clock.Now());
                               pool.Observe({2, kGood, 30}, clock.Now());
-                              CPPUNIT_ASSERT(pool.Refresh(clock.Now()));
+                              CPPUNIT_ASSERT(pool.Refresh(clock.Now()).has_changed);
                               const std::uint64_t seen = pool.Revision();
-                              CPPUNIT_ASSERT(!pool.Refresh(clock.Now()));
+                              CPPUNIT_ASSERT(!pool.Refresh(clock.Now()).has_changed);
                               pool.Observe({2, kFailed, 0}, clock.Now());
-                              CPPUNIT_ASSERT(pool.Refresh(clock.Now()));
+                              CPPUNIT_ASSERT(pool.Refresh(clock.Now()).has_changed);
                               const auto changed = pool.ChangedSince(seen);
                               CPPUNIT_ASSERT(changed.size() == 1 && changed[0].upstream == 2);
                             });
