Prefer the core VM of the own data centre, probe without state

Cause: a VM kept its core VM unless the round trip to another one was half as long. A probe got the conditions of all upstreams, because only a call with the incarnation of the same core VM gets changes.

Change: a core VM names its data centre with its incarnation, and VMs choose by data centre first. A probe says so and gets no state.

Test: 'the core VM of the own data centre is preferred to a nearer one'.

--- a/src/fleet/fleet_core_observations.cpp
+++ b/src/fleet/fleet_core_observations.cpp
@@ -82,12 +82,8 @@
   reply.held = duration_cast<milliseconds>(now - waiting.arrived_at);
   reply.core_incarnation = incarnation_;
   reply.is_counting = now - started_at_ >= kMinCountingTime;
-  reply.changes = state_.ChangesSince(known.policy_version, known.roster_index);
-  reply.conditions_revision = health_.Revision();
-  reply.conditions = health_.ChangedSince(is_known_here ? known.conditions_revision : 0);
-  reply.limits_revision = limits_revision_;
-  if (!is_known_here || known.limits_revision < limits_revision_) {
-    reply.limits.push_back(limits_);
+  if (!is_known_here) {
+    reply.data_centre = settings_.data_centre;
   }
   for (const group_member& member : status_.members) {
     reply.cores.push_back(member.address);
@@ -95,6 +91,16 @@
   if (CoresDigest(reply.cores) == known.cores_digest) {
     reply.cores.clear();
   }
+  if (known.is_probe) {
+    return reply;
+  }
+  reply.changes = state_.ChangesSince(known.policy_version, known.roster_index);
+  reply.conditions_revision = health_.Revision();
+  reply.conditions = health_.ChangedSince(is_known_here ? known.conditions_revision : 0);
+  reply.limits_revision = limits_revision_;
+  if (!is_known_here || known.limits_revision < limits_revision_) {
+    reply.limits.push_back(limits_);
+  }
   return reply;
 }
 
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -224,6 +224,7 @@
   std::chrono::milliseconds hold{};  ///< Longest time until the answer.
   std::uint64_t cores_digest = 0;    ///< `CoresDigest` of the core VMs that it knows.
   std::string data_centre;           ///< Of the entry VM.
+  bool is_probe = false;  ///< Requests no state, only what identifies the core VM and its age.
 
   template <class Self, class Visitor>
   static void ForEachField(Self& self, Visitor&& visit) {
@@ -236,6 +237,7 @@
     visit(7, self.hold);
     visit(8, self.cores_digest);
     visit(9, self.data_centre);
+    visit(10, self.is_probe);
   }
 };
 
@@ -264,6 +266,7 @@
   /// False until the core VM has counted for `kMinCountingTime`; its limits are not reliable before
   /// that.
   bool is_counting = true;
+  std::string data_centre;  ///< Of the core VM, if `core_incarnation` is new.
 
   template <class Self, class Visitor>
   static void ForEachField(Self& self, Visitor&& visit) {
@@ -277,6 +280,7 @@
     visit(8, self.limits);
     visit(9, self.cores);
     visit(10, self.is_counting);
+    visit(11, self.data_centre);
   }
 };
 
--- a/src/serving/fleet_link.cpp
+++ b/src/serving/fleet_link.cpp
@@ -75,8 +75,9 @@
   return *peer.channel;
 }
 
-// Returns the core VM with the shortest round trip that is not backed off. Unmeasured ones count as
-// 0, so that each gets measured. If all are backed off, returns the one whose backoff ends first.
+// Returns the core VM in the VM's own data centre or else with the shortest round trip that is not
+// backed off. Unmeasured ones come first, so that each gets measured. If all are backed off,
+// returns the one whose backoff ends first.
 fleet_link::core_vm* fleet_link::ChooseCore() {
   const steady_time now = clock_.Now();
   core_vm* best = nullptr;
@@ -86,15 +87,23 @@
     if (is_a_backed_off != is_b_backed_off) {
       return is_b_backed_off;
     }
-    return is_a_backed_off ? a.backoff_until < b.backoff_until : a.round_trip < b.round_trip;
+    if (is_a_backed_off) {
+      return a.backoff_until < b.backoff_until;
+    }
+    const bool are_measured = a.round_trip.count() > 0 && b.round_trip.count() > 0;
+    if (are_measured && a.is_same_data_centre != b.is_same_data_centre) {
+      return a.is_same_data_centre;
+    }
+    return a.round_trip < b.round_trip;
   };
   for (const auto& [address, each] : cores_) {
     if (best == nullptr || is_better(*each, *best)) {
       best = each.get();
     }
   }
-  if (best != nullptr && current_ != nullptr && current_ != best &&
-      current_->backoff_until <= now && current_->round_trip.count() > 0 &&
+  const bool is_current_usable = best != nullptr && current_ != nullptr && current_ != best &&
+                                 current_->backoff_until <= now && current_->round_trip.count() > 0;
+  if (is_current_usable && current_->is_same_data_centre == best->is_same_data_centre &&
       best->round_trip * kMinRoundTripGain > current_->round_trip) {
     return current_;
   }
@@ -144,11 +153,9 @@
                                        });
 }
 
-// Names versions that are never reached as known, so that the reply contains no state.
 watch_request fleet_link::MakeProbeRequest() const {
-  watch_request request = view_.Known();
-  request.policy_version = ~std::uint64_t(0) >> 1U;
-  request.roster_index = ~std::uint64_t(0) >> 1U;
+  watch_request request;
+  request.is_probe = true;
   return request;
 }
 
@@ -235,6 +242,9 @@
       std::chrono::duration_cast<std::chrono::microseconds>(clock_.Now() - sent_at - reply.held);
   const auto measured = std::max(round_trip, std::chrono::microseconds(1));
   peer.round_trip = peer.round_trip.count() == 0 ? measured : std::min(peer.round_trip, measured);
+  if (!reply.data_centre.empty()) {
+    peer.is_same_data_centre = reply.data_centre == settings_.data_centre;
+  }
 }
 
 void fleet_link::BackOff(core_vm& peer, const std::string& cause) {
--- a/src/serving/fleet_link.h
+++ b/src/serving/fleet_link.h
@@ -23,8 +23,9 @@
   std::vector<endpoint> seeds;  ///< Initial core VM addresses; may be unreachable or outdated.
 };
 
-/// Watches the core VM with the shortest round trip, and switches to another one if it does not
-/// reply or its state is outdated. Must be used on the thread of its loop.
+/// Watches the core VM of the own data centre or else with the shortest round trip, and switches to
+/// another one if it does not reply or its state is outdated. Must be used on the thread of its
+/// loop.
 class fleet_link {
  public:
   fleet_link(io_loop& loop,
@@ -68,6 +69,7 @@
     std::chrono::microseconds round_trip{};  ///< Minimum so far; 0 before the first reply.
     steady_time backoff_until{};
     int failures = 0;
+    bool is_same_data_centre = false;
   };
 
   struct undelivered_counts {
--- a/tests/support/serving_fixture.cpp
+++ b/tests/support/serving_fixture.cpp
@@ -92,6 +92,9 @@
     if (request.cores_digest != CoresDigest(cores_)) {
       reply.cores = cores_;
     }
+    if (request.core_incarnation != reply.core_incarnation) {
+      reply.data_centre = data_centre_;
+    }
     reply.limits_revision = limits_revision_;
     if (request.limits_revision < limits_revision_) {
       reply.limits = {limits_};
@@ -143,6 +146,11 @@
   cores_ = std::move(addresses);
 }
 
+void fake_core::SetDataCentre(const std::string& data_centre) {
+  const std::lock_guard guard(lock_);
+  data_centre_ = data_centre;
+}
+
 observations fake_core::ReportedObservations() const {
   const std::lock_guard guard(lock_);
   return observations_;
--- a/tests/support/serving_fixture.h
+++ b/tests/support/serving_fixture.h
@@ -32,6 +32,7 @@
   void SetPolicy(std::string document, std::uint64_t version);
   /// Sets the core VMs that are named to entry VMs.
   void SetCores(std::vector<std::string> addresses);
+  void SetDataCentre(const std::string& data_centre);
   std::size_t WatchCalls() const { return watch_calls_; }
   /// Stops or resumes answering watch requests.
   void SetSilent(bool is_silent) { is_silent_ = is_silent; }
@@ -46,6 +47,7 @@
   std::uint64_t limits_revision_ = 1;
   observations observations_;
   std::vector<std::string> cores_;
+  std::string data_centre_;
   std::atomic<bool> is_silent_ = false;
   std::atomic<std::size_t> watch_calls_ = 0;
   endpoint address_;
--- a/tests/unit/serving/fleet_link_test.cpp
+++ b/tests/unit/serving/fleet_link_test.cpp
@@ -28,5 +28,30 @@
   CPPUNIT_ASSERT(later.WatchCalls() > 0);
 });
 
+// The round trip of the first call includes the connection's. On lmvr-hoist 8 VMs measured a long
+// one to the core VM in their own data centre and stayed with the one in another.
+const test_table kOwnDataCentre("fleet link",
+                                "the core VM of the own data centre is preferred to a nearer one",
+                                [] {
+                                  serving_fixture fixture;
+                                  fake_core own(serving_fixture::PolicyDocument(), 1);
+                                  own.SetDataCentre("dc1");
+                                  fixture.Core().SetDataCentre("dc2");
+                                  fixture.Start();
+                                  fixture.Core().SetCores({FormatEndpoint(own.Address())});
+                                  const auto is_moved = [&] {
+                                    const std::size_t before = fixture.Core().WatchCalls();
+                                    const std::size_t own_before = own.WatchCalls();
+                                    std::this_thread::sleep_for(milliseconds(500));
+                                    return fixture.Core().WatchCalls() == before &&
+                                           own.WatchCalls() > own_before;
+                                  };
+                                  bool has_moved = false;
+                                  for (int i = 0; i < 20 && !has_moved; ++i) {
+                                    has_moved = is_moved();
+                                  }
+                                  CPPUNIT_ASSERT(has_moved);
+                                });
+
 }  // namespace
 }  // namespace corianderhoist
