Send trials of upstreams at once to entry VMs of their data centre

Cause: trials had become hints, which are sent every 100 to 250 ms.

Change: a trial that becomes due is urgent news for VMs of the upstream's data centre, like a failure.

Test: 'urgent change of a condition'.

--- a/src/fleet/answer_pacing.cpp
+++ b/src/fleet/answer_pacing.cpp
@@ -21,8 +21,8 @@
       known.limits_revision < current.limits_revision) {
     return pending_news::kUrgent;
   }
-  const auto failure = current.failure_revisions.find(known.data_centre);
-  if (failure != current.failure_revisions.end() && known.conditions_revision < failure->second) {
+  const auto urgent = current.urgent_revisions.find(known.data_centre);
+  if (urgent != current.urgent_revisions.end() && known.conditions_revision < urgent->second) {
     return pending_news::kUrgent;
   }
   return known.conditions_revision < current.conditions_revision ? pending_news::kHints
--- a/src/fleet/answer_pacing.h
+++ b/src/fleet/answer_pacing.h
@@ -1,11 +1,11 @@
 /// Decides when a core VM answers a watch call of an entry VM.
 ///
 /// Some news must reach an entry VM at once: the policy, the roster, the shared limits, and
-/// failures of upstreams in its own data centre, to which most of its requests go. All else are
-/// hints that improve placements: loads, latencies, and the condition of other upstreams. They
-/// change with nearly every request of the fleet, so they are collected and sent at intervals. The
-/// intervals bound the bytes for each entry VM and the work of the core VM, whatever the size of
-/// the fleet.
+/// failures and trials of upstreams in its own data centre, to which most of its requests go; a
+/// trial that comes late leaves healthy capacity unused. All else are hints that improve
+/// placements: loads, latencies, and the condition of other upstreams. They change with nearly
+/// every request of the fleet, so they are collected and sent at intervals. The intervals bound the
+/// bytes for each entry VM and the work of the core VM, whatever the size of the fleet.
 #pragma once
 
 #include "fleet/messages.h"
@@ -25,8 +25,8 @@
   std::uint64_t roster_index = 0;
   std::uint64_t limits_revision = 0;
   std::uint64_t conditions_revision = 0;
-  /// By data centre: the conditions revision of the newest failure of an upstream there.
-  std::map<std::string, std::uint64_t> failure_revisions;
+  /// By data centre: the conditions revision of the newest urgent change of an upstream there.
+  std::map<std::string, std::uint64_t> urgent_revisions;
 };
 
 /// The most pressing news that an entry VM lacks.
--- a/src/fleet/fleet_core_observations.cpp
+++ b/src/fleet/fleet_core_observations.cpp
@@ -61,9 +61,9 @@
 }
 
 void fleet_core::OnConditionsChanged(const condition_changes& changes) {
-  for (const upstream_handle upstream : changes.failing) {
+  for (const upstream_handle upstream : changes.urgent) {
     if (const auto found = data_centre_of_.find(upstream); found != data_centre_of_.end()) {
-      versions_.failure_revisions[found->second] = health_.Revision();
+      versions_.urgent_revisions[found->second] = health_.Revision();
     }
   }
   if (changes.has_changed) {
--- a/src/fleet/upstream_health_table.cpp
+++ b/src/fleet/upstream_health_table.cpp
@@ -63,10 +63,10 @@
          published.trial != current.trial;
 }
 
-// Whether requests have to be kept away from the upstream, unlike before.
-bool IsWorse(const upstream_condition& published, const upstream_condition& current) {
+// Whether requests have to be kept away from the upstream or sent to it, unlike before.
+bool IsUrgentChange(const upstream_condition& published, const upstream_condition& current) {
   return current.failing >= published.failing + kMinPublishedFailingChange ||
-         (current.is_silent && !published.is_silent);
+         (current.is_silent && !published.is_silent) || current.trial > published.trial;
 }
 
 }  // namespace
@@ -204,8 +204,8 @@
   if (entry.revision != 0 && !IsSignificantChange(entry.published, current)) {
     return;
   }
-  if (IsWorse(entry.published, current)) {
-    changes.failing.push_back(upstream);
+  if (IsUrgentChange(entry.published, current)) {
+    changes.urgent.push_back(upstream);
   }
   by_revision_.erase(entry.revision);
   entry.published = current;
--- a/src/fleet/upstream_health_table.h
+++ b/src/fleet/upstream_health_table.h
@@ -18,7 +18,7 @@
 /// Result of a refresh of conditions.
 struct condition_changes {
   bool has_changed = false;
-  std::vector<upstream_handle> failing;  ///< Found to be failing or silent.
+  std::vector<upstream_handle> urgent;  ///< Found to be failing or silent, or due for a trial.
 };
 
 /// Health of each upstream as seen by all VMs. Every change of a condition gets a revision, so that
--- a/tests/unit/fleet/answer_pacing_test.cpp
+++ b/tests/unit/fleet/answer_pacing_test.cpp
@@ -15,7 +15,7 @@
   current.roster_index = 20;
   current.limits_revision = 2;
   current.conditions_revision = 90;
-  current.failure_revisions = {{"dc1", 80}, {"dc2", 90}};
+  current.urgent_revisions = {{"dc1", 80}, {"dc2", 90}};
   return current;
 }
 
--- a/tests/unit/fleet/health_filter_test.cpp
+++ b/tests/unit/fleet/health_filter_test.cpp
@@ -281,6 +281,40 @@
                               CPPUNIT_ASSERT(changed.size() == 1 && changed[0].upstream == 2);
                             });
 
+struct urgent_case {
+  std::string name;
+  std::vector<attempt_evidence> outcomes;
+  std::uint32_t running;
+  milliseconds idle_time;
+  bool is_urgent;
+};
+
+// Hints are sent at intervals of up to 250 ms. A trial that waited for them left 4 of 6 healthy
+// upstreams unused for two seconds on trouble-2 of vornicu-poarta-grown.
+const test_table kUrgent("urgent change of a condition",
+                         std::vector<urgent_case>{
+                             {"a failure", {kFailed}, 0, milliseconds(0), true},
+                             {"a success", {kGood}, 0, milliseconds(0), false},
+                             {"a load", {}, 3, milliseconds(0), false},
+                             {"a trial is due", {}, 0, milliseconds(1200), true},
+                         },
+                         std::function([](const urgent_case& row) {
+                           manual_clock clock;
+                           upstream_health_table pool(milliseconds(1500), clock.Now());
+                           pool.Observe({1, kGood, 30}, clock.Now());
+                           pool.Refresh(clock.Now());
+                           for (const attempt_evidence outcome : row.outcomes) {
+                             pool.Observe({1, outcome, 0}, clock.Now());
+                           }
+                           if (row.running > 0) {
+                             pool.SetRunning(1, row.running, clock.Now());
+                           }
+                           clock.Advance(row.idle_time);
+                           pool.PlanTrials({1}, false, clock.Now());
+                           const auto changes = pool.Refresh(clock.Now());
+                           CPPUNIT_ASSERT_EQUAL(row.is_urgent, !changes.urgent.empty());
+                         }));
+
 struct crash_case {
   std::string name;
   std::vector<crash_report> notes;
