Record no failure for an attempt that is given up because another one is delivered

Cause: since answers that do not end are ended, an attempt beside the delivered one was broken off at 256 KiB and counted as a failure of its upstream, which may be healthy.

Change: it is cancelled without evidence.

Test: 'the attempt that is not delivered is no failure', which failed before (2 upstreams recorded as failed instead of 1).

--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -450,9 +450,15 @@
     StartStreaming(this_attempt);
     return;
   }
-  // The body of a server error, or of an attempt whose response is no longer needed.
   this_attempt->body.clear();
-  this_attempt->call->Break("the body is larger than the buffer");
+  if (streaming_) {
+    // The caller gets the response of another attempt, which says nothing about this upstream.
+    std::erase(attempts_, this_attempt);
+    context_.tracker.End(this_attempt->upstream);
+    this_attempt->call->Cancel();
+    return;
+  }
+  this_attempt->call->Break("the body of the server error is larger than the buffer");
 }
 
 // Commits to this response: the caller can no longer get that of another attempt.
--- a/tests/unit/serving/request_flow_test.cpp
+++ b/tests/unit/serving/request_flow_test.cpp
@@ -3,6 +3,8 @@
 #include "support/serving_fixture.h"
 #include "support/test_table.h"
 
+#include <algorithm>
+#include <set>
 #include <thread>
 
 namespace corianderhoist {
@@ -428,6 +430,38 @@
       CPPUNIT_ASSERT_EQUAL(is_failure_expected, is_recorded);
     }));
 
+// An attempt that is given up because the caller gets the response of another one is no evidence
+// against its upstream.
+const test_table
+    kUnneededAnswer("endless answer", "the attempt that is not delivered is no failure", [] {
+      serving_fixture fixture;
+      const auto late_and_large = [](const scripted_request& request) {
+        scripted_answer answer;
+        answer.bytes = "HTTP/1.1 200 S\r\nX-Attempt-Id: " + request.Header("X-Attempt-Id") +
+                       "\r\nX-Signature: s\r\n\r\n";
+        answer.after = after_answer::kFlood;
+        answer.delay = milliseconds(500);  // The second attempt starts after 360 ms.
+        answer.repeated = "x";
+        return answer;
+      };
+      scripted_upstream& first = fixture.Add("u1", "reads", late_and_large);
+      scripted_upstream& second = fixture.Add("u2", "reads", late_and_large);
+      fixture.Start();
+      test_caller caller(fixture.Port());
+      caller.Send(caller_request{}.Bytes());
+      CPPUNIT_ASSERT(caller.Discard(milliseconds(3000)).has_ended);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), first.Requests().size());
+      CPPUNIT_ASSERT_EQUAL(std::size_t(1), second.Requests().size());
+      std::this_thread::sleep_for(milliseconds(300));
+      std::set<upstream_handle> failed;
+      for (const attempt_outcome& outcome : fixture.Core().ReportedObservations().outcomes) {
+        if (!IsSuccess(outcome.evidence)) {
+          failed.insert(outcome.upstream);
+        }
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE("only the one that did not end", std::size_t(1), failed.size());
+    });
+
 const test_table kIncompleteBody("answer", "a request is sent only when its body is complete", [] {
   serving_fixture fixture;
   scripted_upstream& upstream = fixture.Add("u1", "orders", Good());
