Record an endless answer as a failure unless the caller is stalled

At the deadline more than 256 KiB waited for the caller, as happens with every upstream that sends faster than its caller reads, and the record was withheld. An endless answer could so stay without a record, which the rows of 'endless answer' would have shown too.

Change: a caller counts as stalled when reading has been stopped for 250 ms.

--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -22,6 +22,9 @@
 // by a repeat.
 constexpr std::size_t kMaxBufferedAnswerBytes = 256UL << 10U;
 constexpr std::size_t kMaxUnsentBytes = 256UL << 10U;
+// A caller that has not taken the buffered bytes for this long is stalled. Shorter waits occur with
+// every upstream that sends faster than its caller reads.
+constexpr milliseconds kCallerStallTime(250);
 constexpr milliseconds kConnectTimeout(250);
 constexpr milliseconds kOtherRegionConnectTimeout(400);
 constexpr std::uint32_t kMaxFailedConnects = 4;
@@ -439,7 +442,7 @@
   }
   if (streaming_ == this_attempt) {
     sink_->Append(part);
-    this_attempt->call->Pause(sink_->Unsent() > kMaxUnsentBytes);
+    PauseWhileCallerIsSlow();
     return;
   }
   this_attempt->body += part;
@@ -470,12 +473,22 @@
   sink_->on_drained = [weak = weak_from_this()] {
     const auto self = weak.lock();
     if (self && self->streaming_) {
+      self->waiting_for_caller_since_.reset();
       self->streaming_->call->Pause(false);
     }
   };
   sink_->Begin(head);
   sink_->Append(std::exchange(this_attempt->body, {}));
-  this_attempt->call->Pause(sink_->Unsent() > kMaxUnsentBytes);
+  PauseWhileCallerIsSlow();
+}
+
+// Stops reading of the streamed response until the caller has taken the buffered bytes.
+void request_flow::PauseWhileCallerIsSlow() {
+  const bool is_slow = sink_->Unsent() > kMaxUnsentBytes;
+  if (is_slow && !waiting_for_caller_since_) {
+    waiting_for_caller_since_ = context_.clock.Now();
+  }
+  streaming_->call->Pause(is_slow);
 }
 
 void request_flow::NoteEvidence(const attempt& this_attempt,
@@ -733,8 +746,11 @@
     return;
   }
   if (streaming_) {
-    // An upstream whose response waits for the caller is not the cause.
-    if (sink_->Unsent() <= kMaxUnsentBytes) {
+    // An upstream whose response waits for a stalled caller is not the cause.
+    const bool is_caller_stalled =
+        waiting_for_caller_since_ &&
+        context_.clock.Now() - *waiting_for_caller_since_ >= kCallerStallTime;
+    if (!is_caller_stalled) {
       NoteEvidence(*streaming_, attempt_evidence::kTimedOut, false);
       NoteFailure();
     }
--- a/src/serving/request_flow.h
+++ b/src/serving/request_flow.h
@@ -128,6 +128,7 @@
   // End.
   void Deliver(const answer_head& head, const std::string& body);
   void StartStreaming(const attempt_ptr& this_attempt);
+  void PauseWhileCallerIsSlow();
   void Refuse(error_kind kind, const std::string& detail);
   void FinishWithoutAnswer();
   void AbortStreaming(const std::string& detail);
@@ -157,7 +158,9 @@
   bool is_body_replayable_ = true;
   bool has_begun_ = false;
   std::vector<attempt_ptr> attempts_;
-  attempt_ptr streaming_;    ///< Its response is being streamed to the caller.
+  attempt_ptr streaming_;  ///< Its response is being streamed to the caller.
+  /// Since when reading of the streamed response is stopped.
+  std::optional<steady_time> waiting_for_caller_since_;
   attempt_ptr body_target_;  ///< The rest of the body is streamed to it.
   std::set<upstream_handle> tried_upstreams_;
   std::uint32_t possible_runs_ = 0;  ///< Attempts that the upstream may have run.
