Forget a stalled caller once its buffer is short again; state what has no bound

Found in the read-through. The time since which a response waits for its caller was reset only when the buffer was empty, so a caller that reads slowly but steadily counted as stalled, and an endless answer could stay without a record. It is now also reset when reading goes on. No test shows this case by itself.

The comment of answer_pacing.h claimed a bound for every size of the fleet; answers at the end of the hold and urgent news have none.

--- a/src/fleet/answer_pacing.h
+++ b/src/fleet/answer_pacing.h
@@ -4,8 +4,9 @@
 /// failures and trials of upstreams in its own data centre, to which most of its requests go; a
 /// trial that comes late leaves healthy capacity unused. All else are hints that improve
 /// placements: loads, latencies, and the condition of other upstreams. They change with nearly
-/// every request of the fleet, so they are collected and sent at intervals. The intervals bound the
-/// bytes for each entry VM and the work of the core VM, whatever the size of the fleet.
+/// every request of the fleet, so they are collected and sent at intervals, which grow with the
+/// number of entry VMs at a core VM. Answers at the end of the hold and with urgent news come on
+/// top; neither has a bound that holds for every size of the fleet.
 #pragma once
 
 #include "fleet/messages.h"
--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -485,7 +485,9 @@
 // Stops reading of the streamed response until the caller has taken the buffered bytes.
 void request_flow::PauseWhileCallerIsSlow() {
   const bool is_slow = sink_->Unsent() > kMaxUnsentBytes;
-  if (is_slow && !waiting_for_caller_since_) {
+  if (!is_slow) {
+    waiting_for_caller_since_.reset();
+  } else if (!waiting_for_caller_since_) {
     waiting_for_caller_since_ = context_.clock.Now();
   }
   streaming_->call->Pause(is_slow);
