Log requests that the end of a shutdown cuts, and when they arrived

The logs did not tell the hypotheses of docs/incidents/requests-cut-at-the-end-of-a-stop.md apart: when a request arrived relative to the start of the drain, on how many new connections, and that it was cut. `request_cut` and the counter requests.cut_by_drain name each such request, `attempt_started` carries the time since the start of the drain, `drained` the duration and the connections accepted meanwhile. No decision changes.

--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -147,6 +147,11 @@
   return duration_cast<milliseconds>(deadline_ - context_.clock.Now());
 }
 
+milliseconds request_flow::DrainTimeAt(steady_time time) const {
+  return context_.drain_started ? duration_cast<milliseconds>(time - *context_.drain_started)
+                                : milliseconds(-1);
+}
+
 // ---- Start ----
 
 void request_flow::Start() {
@@ -289,6 +294,7 @@
       .Field("state_age_ms",
              duration_cast<milliseconds>(context_.clock.Now() - context_.view.FreshAt()).count())
       .Field("left_ms", std::int64_t(TimeLeft().count()))
+      .Field("drain_ms", std::int64_t(DrainTimeAt(context_.clock.Now()).count()))
       .Field("is_due", static_cast<int>(best.is_trial_due))
       .Field("is_repeat", static_cast<int>(is_repeat));
   StartAttempt(*upstreams[*chosen], is_repeat, best.is_trial_due);
@@ -775,6 +781,20 @@
   }
 }
 
+void request_flow::NoteCut() const {
+  log_event(log_level::kWarning, "request_cut")
+      .Field("request_id", request_.id)
+      .Field("attempt_id", attempt_id_)
+      .Field("route", route_ != nullptr ? route_->name : std::string())
+      .Field("upstream", attempts_.empty() ? std::string() : attempts_.back()->upstream_id)
+      .Field("arrivals", std::uint64_t(sent_attempts_))
+      .Field("arrived_drain_ms", std::int64_t(DrainTimeAt(arrived_).count()))
+      .Field("drain_ms", std::int64_t(DrainTimeAt(context_.clock.Now()).count()))
+      .Field("left_ms", std::int64_t(TimeLeft().count()))
+      .Field("taken_ms", duration_cast<milliseconds>(context_.clock.Now() - arrived_).count());
+  metrics::Instance().Counter("requests.cut_by_drain").Add();
+}
+
 void request_flow::OnCallerDisconnected() {
   const auto keep_alive = shared_from_this();
   if (is_complete_) {
--- a/src/serving/request_flow.h
+++ b/src/serving/request_flow.h
@@ -68,6 +68,7 @@
   std::unordered_map<request_flow*, std::shared_ptr<request_flow>> flows;
   std::map<std::string, double> answer_kilobytes;  ///< Moving average, by route.
   std::map<std::string, double> split_positions;   ///< By route; see `ChoosePart`.
+  std::optional<steady_time> drain_started;        ///< Set while the VM shuts down.
 };
 
 /// Returns the part of a split route that gets the next request, such that the shares of the parts
@@ -87,6 +88,8 @@
   request_flow& operator=(const request_flow&) = delete;
 
   void Start();
+  /// Records that the shutdown of the VM ends this request without an answer.
+  void NoteCut() const;
 
  private:
   struct attempt {
@@ -138,6 +141,8 @@
   void Complete();
 
   std::chrono::milliseconds TimeLeft() const;
+  /// Time from the start of the VM's shutdown to `time`; negative before it and without one.
+  std::chrono::milliseconds DrainTimeAt(steady_time time) const;
   bool IsIdempotent() const { return route_->is_idempotent; }
   std::chrono::milliseconds RetryAfter(error_kind kind);
 
--- a/src/serving/serving_vm.cpp
+++ b/src/serving/serving_vm.cpp
@@ -105,6 +105,7 @@
 }
 
 void serving_vm::Accept(int descriptor) {
+  connections_while_draining_ += context_->drain_started ? 1 : 0;
   auto connection = std::make_shared<front_connection>(
       *front_, [this](front_connection* ended) { connections_.erase(ended); });
   connections_.emplace(connection.get(), connection);
@@ -150,7 +151,7 @@
     }
     is_draining_ = true;
     on_stopped_ = on_stopped;
-    drain_started_ = clock_.Now();
+    context_->drain_started = clock_.Now();
     log_event(log_level::kInfo, "drain_started")
         .Field("connections", std::uint64_t(connections_.size()))
         .Field("running", std::uint64_t(context_->flows.size()));
@@ -161,7 +162,7 @@
 }
 
 void serving_vm::PollDrain() {
-  const auto elapsed = clock_.Now() - drain_started_;
+  const auto elapsed = clock_.Now() - *context_->drain_started;
   if (elapsed < settings_.drain_delay) {
     return;
   }
@@ -178,7 +179,12 @@
   }
   is_draining_ = false;
   link_->Flush();
+  for (const auto& [key, flow] : context_->flows) {
+    flow->NoteCut();
+  }
   log_event(log_level::kInfo, "drained")
+      .Field("drain_ms", std::chrono::duration_cast<milliseconds>(elapsed).count())
+      .Field("accepted", connections_while_draining_)
       .Field("running", std::uint64_t(context_->flows.size()))
       .Field("connections", std::uint64_t(connections_.size()));
   if (on_stopped_) {
--- a/src/serving/serving_vm.h
+++ b/src/serving/serving_vm.h
@@ -75,8 +75,8 @@
   std::unordered_map<front_connection*, std::shared_ptr<front_connection>> connections_;
   std::unique_ptr<QTimer> sweep_timer_;
   std::function<void()> on_stopped_;
-  steady_time drain_started_{};
   steady_time next_upstream_sweep_{};
+  std::uint64_t connections_while_draining_ = 0;  ///< Accepted after the start of the drain.
   bool is_draining_ = false;
 
   io_loop loop_;
