--- a/tests/support/serving_fixture.cpp
+++ b/tests/support/serving_fixture.cpp
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <future>
 #include <stdexcept>
 #include <thread>
 
@@ -21,6 +22,7 @@
 
 constexpr milliseconds kPollInterval(5);
 constexpr std::chrono::seconds kReadyTimeout(10);
+constexpr std::chrono::seconds kStopTimeout(20);
 
 const std::string kPolicyDocument = R"({"version":"r1",
   "routes":{
@@ -328,8 +330,8 @@
   settings.serving.callers = platform::CallerHeaderNames();
   settings.serving.upstreams = platform::UpstreamHeaderNames();
   settings.serving.repeats = {0.2, milliseconds(10'000), 1000};
-  settings.drain_delay = milliseconds(200);
-  settings.drain_deadline = milliseconds(3000);
+  settings.drain_delay = drain_delay_;
+  settings.drain_deadline = drain_deadline_;
   vm_ = std::make_unique<serving_vm>(settings, platform::DecodePolicy, SystemClock());
   port_ = Expect([this] { return vm_->Start(); });
   const auto deadline = std::chrono::steady_clock::now() + kReadyTimeout;
@@ -341,6 +343,22 @@
   }
 }
 
+void serving_fixture::SetDrain(milliseconds delay, milliseconds deadline) {
+  drain_delay_ = delay;
+  drain_deadline_ = deadline;
+}
+
+milliseconds serving_fixture::Stop() {
+  const auto start = std::chrono::steady_clock::now();
+  std::promise<void> stopped;
+  vm_->Drain([&stopped] { stopped.set_value(); });
+  if (stopped.get_future().wait_for(kStopTimeout) != std::future_status::ready) {
+    throw std::runtime_error("the VM did not stop");
+  }
+  vm_.reset();
+  return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - start);
+}
+
 caller_answer serving_fixture::Call(const caller_request& request) {
   test_caller caller(port_);
   caller.Send(request.Bytes());
--- a/tests/support/serving_fixture.h
+++ b/tests/support/serving_fixture.h
@@ -127,12 +127,19 @@
   std::uint16_t Port() const { return port_; }
   fake_core& Core() { return *core_; }
   serving_vm& Vm() { return *vm_; }
+  /// Sets the times of a shutdown; call before `Start`.
+  void SetDrain(std::chrono::milliseconds delay, std::chrono::milliseconds deadline);
+  /// Starts the shutdown of the VM and returns once it has ended and the VM is destroyed, as at the
+  /// end of its process. Returns the time that this took.
+  std::chrono::milliseconds Stop();
 
  private:
   std::unique_ptr<fake_core> core_;
   std::vector<std::unique_ptr<scripted_upstream>> upstreams_;
   std::unique_ptr<serving_vm> vm_;
   std::uint16_t port_ = 0;
+  std::chrono::milliseconds drain_delay_{200};
+  std::chrono::milliseconds drain_deadline_{3000};
 };
 
 }  // namespace corianderhoist
