--- a/tests/support/test_runner.cpp
+++ b/tests/support/test_runner.cpp
@@ -1,5 +1,6 @@
 // Entry point of every test executable. Runs all registered tests, or those whose name contains the
-// first argument, and ends with a line that counts passed and failed tests.
+// first argument, and ends with a line that counts passed and failed tests. The variable
+// CORIANDERHOIST_TEST_LOG shows the log of the code under test.
 #include <cppunit/BriefTestProgressListener.h>
 #include <cppunit/Exception.h>
 #include <cppunit/TestFailure.h>
@@ -35,7 +36,9 @@
   // By default, rapidcheck draws a new seed for each run. A fixed seed makes results reproducible.
   setenv("RC_PARAMS", "seed=20261204", 0);
   const QCoreApplication application(argc, argv);
-  corianderhoist::ConfigureLog("test", corianderhoist::log_level::kError);
+  const bool are_logs_shown = std::getenv("CORIANDERHOIST_TEST_LOG") != nullptr;
+  corianderhoist::ConfigureLog("test", are_logs_shown ? corianderhoist::log_level::kInfo
+                                                      : corianderhoist::log_level::kError);
   CppUnit::TestResult result;
   CppUnit::TestResultCollector collector;
   CppUnit::BriefTestProgressListener progress;
