Take no request during a shutdown that the shutdown would cut

Callers saw: a request that an entry VM took seconds after SIGTERM was passed on, and its connection was closed without an answer at the end of the shutdown, orders included (LOST).

Cause: the drain had an end, but no last moment for new work. The VM accepted connections and passed requests on until its deadline, and handed upstreams the caller's whole time even where the process would end sooner. Readiness alone does not keep callers away: the load balancer uses VMs that are not ready when fewer than half of a data centre are left, and it needs two checks to see it.

Fix: drain_schedule decides at the last moment before a request is sent to an upstream: its whole time fits, or the load balancer still sends callers here and nearly all requests of the route would fit. All others are refused as not run with a Retry-After of 10 to 100 ms and a closed connection, so that callers turn to another VM at once. Upstreams are handed the time until 300 ms before the end, answers are due 100 ms before it. Once nothing runs, the listener closes and the process ends. Connections that were opened or used within 250 ms are not closed as idle, since a request may be in transit. A second signal during or after the drain changes nothing; readiness stays off after its end.

--- a/src/http/front_connection.cpp
+++ b/src/http/front_connection.cpp
@@ -17,6 +17,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kLingerTimeout(1000);
+// Several round trips between a caller and its nearest VM.
+constexpr milliseconds kRequestTransitTime(250);
 constexpr std::size_t kMaxPipelinedRequests = 8;
 constexpr std::size_t kMaxBufferedBodyBytes = 128UL << 10U;
 constexpr std::size_t kMaxIncomingBytes = 256UL << 10U;
@@ -162,8 +164,9 @@
   return !answers_.empty() || reader_ != nullptr || waiting_request_.has_value();
 }
 
-void front_connection::CloseIfIdle() {
-  if (!IsBusy() && incoming_.empty() && !is_lingering_) {
+void front_connection::CloseIfIdle(steady_time now) {
+  const bool is_recent = now < last_progress_ + kRequestTransitTime;
+  if (!IsBusy() && incoming_.empty() && !is_lingering_ && !is_recent) {
     Linger();
   }
 }
--- a/src/http/front_connection.h
+++ b/src/http/front_connection.h
@@ -77,8 +77,9 @@
   void Start(int descriptor);
   /// Refuses the request or closes the connection when a timeout has expired.
   void CheckTimeouts(steady_time now);
-  /// Closes the connection unless a request has started to arrive or is being answered.
-  void CloseIfIdle();
+  /// Closes the connection unless a request has started to arrive or is being answered, or may be
+  /// in transit because the connection was opened or used a moment ago.
+  void CloseIfIdle(steady_time now);
   /// Whether a request is being read or answered.
   bool IsBusy() const;
 
--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -55,6 +55,8 @@
 // Jitter, so that callers which are refused at the same time do not retry at the same time.
 constexpr milliseconds kMinRetryAfter(200);
 constexpr milliseconds kRetryAfterJitter(600);
+constexpr milliseconds kMinRetryElsewhere(10);
+constexpr milliseconds kRetryElsewhereJitter(90);
 
 std::optional<std::int64_t> ReadNumber(const std::string* text) {
   std::int64_t value = 0;
@@ -98,7 +100,8 @@
       repeats(settings.repeats, time),
       connections(time),
       tracker(shared_view, shared_link, settings.place, settings.vm, time),
-      random(FastHash(RandomBytes(16))) {}
+      random(FastHash(RandomBytes(16))),
+      drain(settings.drain) {}
 
 // Steps by the golden ratio are a low-discrepancy sequence: any number of them is spread evenly
 // over the weights.
@@ -144,12 +147,17 @@
 }
 
 milliseconds request_flow::TimeLeft() const {
-  return duration_cast<milliseconds>(deadline_ - context_.clock.Now());
+  return duration_cast<milliseconds>(context_.drain.AnswerDeadline(deadline_) -
+                                     context_.clock.Now());
 }
 
-milliseconds request_flow::DrainTimeAt(steady_time time) const {
-  return context_.drain_started ? duration_cast<milliseconds>(time - *context_.drain_started)
-                                : milliseconds(-1);
+milliseconds request_flow::UpstreamTimeLeft() const {
+  return duration_cast<milliseconds>(context_.drain.UpstreamDeadline(deadline_) -
+                                     context_.clock.Now());
+}
+
+bool request_flow::MayStart() const {
+  return context_.drain.MayStart(context_.clock.Now(), deadline_, route_->objective);
 }
 
 // ---- Start ----
@@ -247,6 +255,10 @@
     Refuse(error_kind::kRequestHeldBack, "requests like this one have ended upstreams");
     return;
   }
+  if (!MayStart()) {
+    Refuse(error_kind::kShuttingDown, "the VM is shutting down");
+    return;
+  }
   context_.repeats.CountRequest(service_);
   context_.link.NoteService(service_, fleet_link::service_event::kRequest);
   if (!StartNextAttempt(false)) {
@@ -294,7 +306,7 @@
       .Field("state_age_ms",
              duration_cast<milliseconds>(context_.clock.Now() - context_.view.FreshAt()).count())
       .Field("left_ms", std::int64_t(TimeLeft().count()))
-      .Field("drain_ms", std::int64_t(DrainTimeAt(context_.clock.Now()).count()))
+      .Field("drain_ms", std::int64_t(context_.drain.ElapsedAt(context_.clock.Now()).count()))
       .Field("is_due", static_cast<int>(best.is_trial_due))
       .Field("is_repeat", static_cast<int>(is_repeat));
   StartAttempt(*upstreams[*chosen], is_repeat, best.is_trial_due);
@@ -327,7 +339,7 @@
            IsSameName(field.name, names.workspace);
   });
   headers.push_back(
-      {names.deadline_ms, std::to_string(std::max<std::int64_t>(TimeLeft().count(), 1))});
+      {names.deadline_ms, std::to_string(std::max<std::int64_t>(UpstreamTimeLeft().count(), 1))});
   headers.push_back({names.instance, upstream.entry.id});
   if (workspace_ != nullptr) {
     headers.push_back({names.workspace, workspace_->name});
@@ -351,7 +363,7 @@
   const bool is_far = context_.settings.place.DistanceTo(upstream.entry.data_centre) ==
                       network_distance::kOtherRegion;
   plan.connect_timeout =
-      std::min(is_far ? kOtherRegionConnectTimeout : kConnectTimeout, TimeLeft());
+      std::min(is_far ? kOtherRegionConnectTimeout : kConnectTimeout, UpstreamTimeLeft());
   plan.max_idle_time = MaxIdleTime();
   return plan;
 }
@@ -604,11 +616,14 @@
 }
 
 bool request_flow::MayRepeat() const {
-  if (TimeLeft() < kMinTimeLeftForAttempt || failed_connects_ >= kMaxFailedConnects ||
+  if (UpstreamTimeLeft() < kMinTimeLeftForAttempt || failed_connects_ >= kMaxFailedConnects ||
       sent_attempts_ >= kMaxSentAttempts || !is_body_replayable_) {
     return false;
   }
-  return possible_runs_ == 0 || (IsIdempotent() && possible_runs_ < route_->attempts);
+  if (possible_runs_ == 0) {
+    return MayStart();
+  }
+  return IsIdempotent() && possible_runs_ < route_->attempts;
 }
 
 bool request_flow::TakeRepeat(repeat_cause cause) {
@@ -696,6 +711,11 @@
   if (!base) {
     return {};
   }
+  if (kind == error_kind::kShuttingDown) {
+    // Other VMs can serve the caller at once.
+    return kMinRetryElsewhere + milliseconds(static_cast<std::int64_t>(
+                                    context_.random() % kRetryElsewhereJitter.count()));
+  }
   const bool is_long = kind == error_kind::kRequestHeldBack;
   const auto spread = milliseconds(static_cast<std::int64_t>(
       context_.random() % static_cast<std::uint64_t>(kRetryAfterJitter.count())));
@@ -703,12 +723,14 @@
 }
 
 void request_flow::Refuse(error_kind kind, const std::string& detail) {
-  if (has_begun_) {
+  // A refusal because of the shutdown says nothing about the service.
+  if (has_begun_ && kind != error_kind::kShuttingDown) {
     NoteFailure();
   }
   log_event(log_level::kInfo, "request_refused")
       .Field("request_id", request_.id)
       .Field("attempt_id", attempt_id_)
+      .Field("drain_ms", std::int64_t(context_.drain.ElapsedAt(context_.clock.Now()).count()))
       .Field("route", route_ != nullptr ? route_->name : std::string())
       .Field("error", AnswerFor(kind).name)
       .Field("detail", detail)
@@ -781,6 +803,20 @@
   }
 }
 
+void request_flow::OnDrainProgress() {
+  const auto keep_alive = shared_from_this();
+  if (is_complete_) {
+    return;
+  }
+  if (!has_begun_ && !MayStart()) {
+    Refuse(error_kind::kShuttingDown, "the VM is shutting down");
+    return;
+  }
+  if (deadline_timer_.remainingTimeAsDuration() > TimeLeft()) {
+    deadline_timer_.start(std::max(TimeLeft(), milliseconds(1)));
+  }
+}
+
 void request_flow::NoteCut() const {
   log_event(log_level::kWarning, "request_cut")
       .Field("request_id", request_.id)
@@ -788,8 +824,8 @@
       .Field("route", route_ != nullptr ? route_->name : std::string())
       .Field("upstream", attempts_.empty() ? std::string() : attempts_.back()->upstream_id)
       .Field("arrivals", std::uint64_t(sent_attempts_))
-      .Field("arrived_drain_ms", std::int64_t(DrainTimeAt(arrived_).count()))
-      .Field("drain_ms", std::int64_t(DrainTimeAt(context_.clock.Now()).count()))
+      .Field("arrived_drain_ms", std::int64_t(context_.drain.ElapsedAt(arrived_).count()))
+      .Field("drain_ms", std::int64_t(context_.drain.ElapsedAt(context_.clock.Now()).count()))
       .Field("left_ms", std::int64_t(TimeLeft().count()))
       .Field("taken_ms", duration_cast<milliseconds>(context_.clock.Now() - arrived_).count());
   metrics::Instance().Counter("requests.cut_by_drain").Add();
--- a/src/serving/request_flow.h
+++ b/src/serving/request_flow.h
@@ -7,6 +7,7 @@
 #include "http/front_connection.h"
 #include "http/message.h"
 #include "serving/admission.h"
+#include "serving/drain_schedule.h"
 #include "serving/fleet_link.h"
 #include "serving/fleet_view.h"
 #include "serving/repeat_budget.h"
@@ -45,6 +46,7 @@
   repeat_bound repeats;
   cost_range cross_data_centre_cost;  ///< Of traffic with another data centre of the region.
   cost_range cross_region_cost;       ///< Of traffic with another region.
+  drain_settings drain;
 };
 
 class request_flow;
@@ -68,7 +70,7 @@
   std::unordered_map<request_flow*, std::shared_ptr<request_flow>> flows;
   std::map<std::string, double> answer_kilobytes;  ///< Moving average, by route.
   std::map<std::string, double> split_positions;   ///< By route; see `ChoosePart`.
-  std::optional<steady_time> drain_started;        ///< Set while the VM shuts down.
+  drain_schedule drain;
 };
 
 /// Returns the part of a split route that gets the next request, such that the shares of the parts
@@ -88,6 +90,9 @@
   request_flow& operator=(const request_flow&) = delete;
 
   void Start();
+  /// Applies the end of the drain to the time left, and refuses the request if it has not been sent
+  /// to an upstream and can no longer be answered in time. Called repeatedly during a drain.
+  void OnDrainProgress();
   /// Records that the shutdown of the VM ends this request without an answer.
   void NoteCut() const;
 
@@ -140,9 +145,12 @@
   void CancelAttempts();
   void Complete();
 
+  /// Time until the request has to be answered.
   std::chrono::milliseconds TimeLeft() const;
-  /// Time from the start of the VM's shutdown to `time`; negative before it and without one.
-  std::chrono::milliseconds DrainTimeAt(steady_time time) const;
+  /// Time that an upstream may take; shorter than `TimeLeft` during a drain.
+  std::chrono::milliseconds UpstreamTimeLeft() const;
+  /// Whether a request that no upstream may have run can still be sent to one.
+  bool MayStart() const;
   bool IsIdempotent() const { return route_->is_idempotent; }
   std::chrono::milliseconds RetryAfter(error_kind kind);
 
--- a/src/serving/serving_vm.cpp
+++ b/src/serving/serving_vm.cpp
@@ -105,7 +105,7 @@
 }
 
 void serving_vm::Accept(int descriptor) {
-  connections_while_draining_ += context_->drain_started ? 1 : 0;
+  connections_while_draining_ += context_->drain.HasBegun() ? 1 : 0;
   auto connection = std::make_shared<front_connection>(
       *front_, [this](front_connection* ended) { connections_.erase(ended); });
   connections_.emplace(connection.get(), connection);
@@ -128,17 +128,18 @@
     context_->connections.Sweep([this](upstream_handle handle) { return view_->IsKnown(handle); });
     context_->tracker.Sweep();
   }
-  if (is_draining_) {
-    PollDrain();
+  if (context_->drain.HasBegun() && !has_drained_) {
+    ContinueDrain();
   }
 }
 
 void serving_vm::UpdateReady() {
+  const bool is_draining = context_->drain.HasBegun();
   const bool is_ready =
-      !is_draining_ && view_->Policy() && clock_.Now() - view_->FreshAt() < kMaxReadyStateAge;
+      !is_draining && view_->Policy() && clock_.Now() - view_->FreshAt() < kMaxReadyStateAge;
   if (is_ready_.exchange(is_ready) != is_ready) {
     log_event(log_level::kInfo, is_ready ? "ready" : "not_ready")
-        .Field("is_draining", static_cast<int>(is_draining_))
+        .Field("is_draining", static_cast<int>(is_draining))
         .Field("state_age_ms",
                std::chrono::duration_cast<milliseconds>(clock_.Now() - view_->FreshAt()).count());
   }
@@ -146,50 +147,63 @@
 
 void serving_vm::Drain(std::function<void()> on_stopped) {
   loop_.Post([this, on_stopped = std::move(on_stopped)] {
-    if (is_draining_) {
+    if (context_->drain.HasBegun()) {
       return;
     }
-    is_draining_ = true;
+    context_->drain.Begin(clock_.Now());
     on_stopped_ = on_stopped;
-    context_->drain_started = clock_.Now();
     log_event(log_level::kInfo, "drain_started")
         .Field("connections", std::uint64_t(connections_.size()))
         .Field("running", std::uint64_t(context_->flows.size()));
     UpdateReady();
     // From now on each response has `Connection: close`, so that callers connect elsewhere.
     front_->is_closing = true;
+    ContinueDrain();
   });
 }
 
-void serving_vm::PollDrain() {
-  const auto elapsed = clock_.Now() - *context_->drain_started;
-  if (elapsed < settings_.drain_delay) {
-    return;
+void serving_vm::ContinueDrain() {
+  const steady_time now = clock_.Now();
+  std::vector<std::shared_ptr<request_flow>> flows;
+  for (const auto& [key, flow] : context_->flows) {
+    flows.push_back(flow);
   }
-  std::vector<std::shared_ptr<front_connection>> all;
-  for (const auto& [key, connection] : connections_) {
-    all.push_back(connection);
+  for (const auto& flow : flows) {
+    flow->OnDrainProgress();
   }
-  for (const auto& connection : all) {
-    connection->CloseIfIdle();
+  if (context_->drain.IsClosing(now)) {
+    std::vector<std::shared_ptr<front_connection>> all;
+    for (const auto& [key, connection] : connections_) {
+      all.push_back(connection);
+    }
+    for (const auto& connection : all) {
+      connection->CloseIfIdle(now);
+    }
+    if (context_->flows.empty()) {
+      // Nothing is left to finish. Callers that connect from now on are refused by the kernel.
+      listener_->Close();
+    }
   }
-  const bool is_over = elapsed >= settings_.drain_deadline;
-  if ((!connections_.empty() || !context_->flows.empty()) && !is_over) {
-    return;
+  const bool is_finished =
+      context_->drain.IsClosing(now) && connections_.empty() && context_->flows.empty();
+  if (is_finished || context_->drain.IsOver(now)) {
+    FinishDrain();
   }
-  is_draining_ = false;
+}
+
+void serving_vm::FinishDrain() {
+  has_drained_ = true;
+  listener_->Close();
   link_->Flush();
   for (const auto& [key, flow] : context_->flows) {
     flow->NoteCut();
   }
   log_event(log_level::kInfo, "drained")
-      .Field("drain_ms", std::chrono::duration_cast<milliseconds>(elapsed).count())
+      .Field("drain_ms", std::int64_t(context_->drain.ElapsedAt(clock_.Now()).count()))
       .Field("accepted", connections_while_draining_)
       .Field("running", std::uint64_t(context_->flows.size()))
       .Field("connections", std::uint64_t(connections_.size()));
-  if (on_stopped_) {
-    on_stopped_();
-  }
+  on_stopped_();
 }
 
 QJsonObject serving_vm::Dump() const {
--- a/src/serving/serving_vm.h
+++ b/src/serving/serving_vm.h
@@ -26,11 +26,6 @@
   endpoint listen;  ///< Address for callers.
   fleet_link_settings link;
   serving_settings serving;
-  /// Time from the start of the drain until idle connections are closed. By then the load balancer
-  /// has seen that this VM is not ready.
-  std::chrono::milliseconds drain_delay{1500};
-  /// Time from the start of the drain until it ends even if requests are still running.
-  std::chrono::milliseconds drain_deadline{5500};
 };
 
 /// Serves all requests on one event loop. A VM has at most a fifth of a CPU core, so further
@@ -48,7 +43,8 @@
   void SetSeeds(std::vector<endpoint> seeds);
   /// Whether the load balancer should send callers here. Thread safe.
   bool IsReady() const { return is_ready_; }
-  /// Finishes running requests, closes idle connections and then calls `on_stopped` on the loop.
+  /// Finishes running requests, closes idle connections and then calls `on_stopped` on the loop,
+  /// once. Requests that can no longer be finished are refused, so that callers turn to another VM.
   void Drain(std::function<void()> on_stopped);
 
   io_loop& Loop() { return loop_; }
@@ -59,7 +55,8 @@
   void Accept(int descriptor);
   void Sweep();
   void UpdateReady();
-  void PollDrain();
+  void ContinueDrain();
+  void FinishDrain();
   front_limits Limits() const;
 
   const serving_vm_settings settings_;
@@ -77,7 +74,7 @@
   std::function<void()> on_stopped_;
   steady_time next_upstream_sweep_{};
   std::uint64_t connections_while_draining_ = 0;  ///< Accepted after the start of the drain.
-  bool is_draining_ = false;
+  bool has_drained_ = false;
 
   io_loop loop_;
 };
--- a/tests/support/serving_fixture.cpp
+++ b/tests/support/serving_fixture.cpp
@@ -330,8 +330,7 @@
   settings.serving.callers = platform::CallerHeaderNames();
   settings.serving.upstreams = platform::UpstreamHeaderNames();
   settings.serving.repeats = {0.2, milliseconds(10'000), 1000};
-  settings.drain_delay = drain_delay_;
-  settings.drain_deadline = drain_deadline_;
+  settings.serving.drain = {drain_delay_, drain_deadline_};
   vm_ = std::make_unique<serving_vm>(settings, platform::DecodePolicy, SystemClock());
   port_ = Expect([this] { return vm_->Start(); });
   const auto deadline = std::chrono::steady_clock::now() + kReadyTimeout;
--- a/tests/unit/platform/decoding_test.cpp
+++ b/tests/unit/platform/decoding_test.cpp
@@ -211,7 +211,7 @@
       CPPUNIT_ASSERT(core.repeats.extra == 56 && core.repeats.window == milliseconds(10'000));
       const serving_vm_settings entry = MakeEntrySettings(read);
       CPPUNIT_ASSERT(entry.serving.admission.withdrawal_bound == milliseconds(5000));
-      CPPUNIT_ASSERT(entry.drain_deadline < milliseconds(6000));
+      CPPUNIT_ASSERT(entry.serving.drain.deadline < milliseconds(6000));
       CPPUNIT_ASSERT(entry.serving.place.DistanceTo("kut-a") == network_distance::kOtherRegion);
     });
 
--- a/tests/unit/serving/stop_test.cpp
+++ b/tests/unit/serving/stop_test.cpp
@@ -1,4 +1,5 @@
 // Graceful shutdown of an entry VM under a load that goes on until its process is gone.
+#include "serving/drain_schedule.h"
 #include "support/serving_fixture.h"
 #include "support/test_table.h"
 
@@ -7,6 +8,7 @@
 #include <chrono>
 #include <memory>
 #include <mutex>
+#include <random>
 #include <set>
 #include <string>
 #include <thread>
@@ -134,5 +136,215 @@
       CPPUNIT_ASSERT(seen.served > 0);
     }));
 
+struct schedule_case {
+  std::string name;
+  milliseconds elapsed;  ///< Since the start of the drain.
+  milliseconds limit;    ///< Time limit of the request.
+  milliseconds expected;
+  bool may_start;
+};
+
+// Guards against requests that outlast the process, and against refusals while it can serve them.
+const test_table kMayStart(
+    "request during a drain of 6 s",
+    std::vector<schedule_case>{
+        {"that fits is started", milliseconds(0), milliseconds(4000), milliseconds(2000), true},
+        {"that fits is started while others close", milliseconds(3000), milliseconds(2000),
+         milliseconds(1500), true},
+        {"that is expected to fit is started", milliseconds(1900), milliseconds(8000),
+         milliseconds(2500), true},
+        {"that is not expected to fit is refused", milliseconds(1900), milliseconds(8000),
+         milliseconds(4000), false},
+        {"that may not fit is refused while others close", milliseconds(2000), milliseconds(8000),
+         milliseconds(500), false},
+        {"at the end is refused", milliseconds(5900), milliseconds(200), milliseconds(10), false},
+    },
+    std::function([](const schedule_case& row) {
+      const steady_time start(std::chrono::hours(1));
+      drain_schedule drain({milliseconds(2000), milliseconds(6000)});
+      const steady_time now = start + row.elapsed;
+      CPPUNIT_ASSERT(drain.MayStart(now, now + row.limit, row.expected));
+      drain.Begin(start);
+      CPPUNIT_ASSERT_EQUAL(row.may_start, drain.MayStart(now, now + row.limit, row.expected));
+    }));
+
+// Guards against an upstream that is still at work when the process ends.
+const test_table kDeadlines(
+    "drain schedule",
+    "an upstream ends before the answer is due and the answer before the process, for any times",
+    [] {
+      std::mt19937_64 random(20261205);
+      const auto draw = [&](int most) {
+        return milliseconds(std::uniform_int_distribution<int>(0, most)(random));
+      };
+      for (int i = 0; i < 20'000; ++i) {
+        const drain_settings settings{draw(5000), draw(20'000)};
+        const steady_time start(std::chrono::hours(1));
+        drain_schedule drain(settings);
+        drain.Begin(start);
+        const steady_time now = start + draw(20'000);
+        const steady_time deadline = now + draw(15'000);
+        const steady_time end = start + settings.deadline;
+        CPPUNIT_ASSERT(drain.UpstreamDeadline(deadline) <= drain.AnswerDeadline(deadline));
+        CPPUNIT_ASSERT(drain.AnswerDeadline(deadline) <= deadline);
+        CPPUNIT_ASSERT(drain.AnswerDeadline(deadline) < end);
+        CPPUNIT_ASSERT(!drain.IsOver(end - milliseconds(1)) && drain.IsOver(end));
+        if (drain.MayStart(now, deadline, draw(3000))) {
+          CPPUNIT_ASSERT(drain.UpstreamDeadline(deadline) >= now);
+          CPPUNIT_ASSERT(deadline < end || !drain.IsClosing(now));
+        }
+      }
+    });
+
+scripted_answer AnswerAfter(const scripted_request& request, milliseconds work) {
+  return {SignedAnswer(request, 200, "ok"), after_answer::kKeep, work};
+}
+
+// Guards against a time limit that ends after the process.
+const test_table kHandedTime("stop", "an upstream is handed the time until the end at most", [] {
+  serving_fixture fixture;
+  fixture.SetDrain(milliseconds(300), milliseconds(1200));
+  scripted_upstream& upstream =
+      fixture.Add("u1", "orders", [](const auto& request) { return AnswerAfter(request, {}); });
+  fixture.Start();
+  std::thread stop([&] { fixture.Stop(); });
+  std::this_thread::sleep_for(milliseconds(100));
+  test_caller caller(fixture.Port());
+  caller.Send(caller_request{.method = "POST", .path = "/once/1"}.Bytes());
+  const caller_answer answer = caller.Receive();
+  stop.join();
+  CPPUNIT_ASSERT_EQUAL(200, answer.status);
+  const int handed = std::stoi(upstream.Requests().at(0).Header("X-Deadline-Ms"));
+  CPPUNIT_ASSERT_MESSAGE(std::to_string(handed), handed > 0 && handed < 1100);
+});
+
+struct end_case {
+  std::string name;
+  std::string path;
+  int status;
+};
+
+// Guards against a caller that learns nothing about a request that outlasts the shutdown.
+const test_table kHung("stop answers a request before its end, though the upstream hangs,",
+                       std::vector<end_case>{{"an order", "/once/1", 504},
+                                             {"a request that may be repeated", "/safe/1", 504}},
+                       std::function([](const end_case& row) {
+                         serving_fixture fixture;
+                         fixture.SetDrain(milliseconds(200), milliseconds(700));
+                         for (const std::string service : {"orders", "reads"}) {
+                           fixture.Add(service, service, [](const scripted_request&) {
+                             return scripted_answer{"", after_answer::kHang, {}, {}};
+                           });
+                         }
+                         fixture.Start();
+                         test_caller caller(fixture.Port());
+                         caller.Send(caller_request{.method = "POST", .path = row.path}.Bytes());
+                         std::this_thread::sleep_for(milliseconds(100));
+                         std::thread stop([&] { fixture.Stop(); });
+                         const caller_answer answer = caller.Receive();
+                         stop.join();
+                         CPPUNIT_ASSERT_EQUAL(row.status, answer.status);
+                         CPPUNIT_ASSERT(answer.duration < milliseconds(800));
+                       }));
+
+// Guards against a late caller that waits, or that is not told to come back to another VM.
+const test_table kLate("stop", "a late request is refused at once as not run", [] {
+  serving_fixture fixture;
+  fixture.SetDrain(milliseconds(200), milliseconds(1500));
+  scripted_upstream& upstream = fixture.Add("u1", "orders", [](const scripted_request& request) {
+    return AnswerAfter(request, milliseconds(900));
+  });
+  fixture.Start();
+  test_caller running(fixture.Port());
+  running.Send(caller_request{.method = "POST", .path = "/once/1"}.Bytes());
+  std::this_thread::sleep_for(milliseconds(50));
+  std::thread stop([&] { fixture.Stop(); });
+  std::this_thread::sleep_for(milliseconds(400));
+  test_caller late(fixture.Port());
+  late.Send(caller_request{.method = "POST", .path = "/once/1", .id = "late"}.Bytes());
+  const caller_answer refused = late.Receive();
+  const caller_answer served = running.Receive();
+  stop.join();
+  CPPUNIT_ASSERT_EQUAL(503, refused.status);
+  CPPUNIT_ASSERT(refused.duration < milliseconds(200));
+  CPPUNIT_ASSERT_EQUAL(std::string("close"), refused.Header("Connection"));
+  CPPUNIT_ASSERT(std::stod(refused.Header("Retry-After")) <= 0.1);
+  CPPUNIT_ASSERT_EQUAL(200, served.status);
+  CPPUNIT_ASSERT_EQUAL(std::size_t(1), upstream.Requests().size());
+});
+
+// Guards against an upload that is started when its upstream no longer has time for it.
+const test_table kSlowUpload("stop", "a slow upload that cannot be finished is refused", [] {
+  serving_fixture fixture;
+  fixture.SetDrain(milliseconds(200), milliseconds(1000));
+  scripted_upstream& upstream =
+      fixture.Add("u1", "orders", [](const auto& request) { return AnswerAfter(request, {}); });
+  fixture.Start();
+  test_caller caller(fixture.Port());
+  const std::string whole =
+      caller_request{.method = "POST", .path = "/once/1", .body = "0123456789"}.Bytes();
+  caller.Send(whole.substr(0, whole.size() - 5));
+  std::this_thread::sleep_for(milliseconds(100));
+  std::thread stop([&] { fixture.Stop(); });
+  const caller_answer answer = caller.Receive();
+  stop.join();
+  CPPUNIT_ASSERT_EQUAL(503, answer.status);
+  CPPUNIT_ASSERT_MESSAGE(std::to_string(answer.duration.count()),
+                         answer.duration < milliseconds(600));
+  CPPUNIT_ASSERT(upstream.Requests().empty());
+});
+
+const test_table kCoreGone("stop", "without core VMs cuts no request and ends in time", [] {
+  serving_fixture fixture;
+  fixture.SetDrain(milliseconds(300), milliseconds(1500));
+  scripted_upstream& upstream = fixture.Add("u1", "orders", [](const scripted_request& request) {
+    return AnswerAfter(request, milliseconds(300));
+  });
+  fixture.Start();
+  fixture.Core().SetSilent(true);
+  stop_load callers(fixture.Port(), "/once/1", true);
+  std::this_thread::sleep_for(milliseconds(400));
+  CPPUNIT_ASSERT(fixture.Stop() < milliseconds(2000));
+  const load_outcome seen = callers.Join();
+  for (const scripted_request& request : upstream.Requests()) {
+    CPPUNIT_ASSERT(!seen.without_answer.contains(request.Header("X-Attempt-Id")));
+  }
+});
+
+const test_table kIdleStop("stop", "of a VM without requests does not wait for its deadline", [] {
+  serving_fixture fixture;
+  fixture.SetDrain(milliseconds(200), milliseconds(5000));
+  fixture.Start();
+  test_caller idle(fixture.Port());
+  std::thread reader([&] { idle.IsClosed(milliseconds(3000)); });
+  const milliseconds taken = fixture.Stop();
+  reader.join();
+  CPPUNIT_ASSERT_MESSAGE(std::to_string(taken.count()), taken < milliseconds(2500));
+});
+
+// Guards against a second signal that starts the shutdown anew, and readiness after its end.
+const test_table kSecondStop("stop", "a second one changes nothing", [] {
+  serving_fixture fixture;
+  fixture.SetDrain(milliseconds(100), milliseconds(800));
+  fixture.Add("u1", "orders", [](const scripted_request&) {
+    return scripted_answer{"", after_answer::kHang, {}, {}};
+  });
+  fixture.Start();
+  test_caller caller(fixture.Port());
+  caller.Send(caller_request{.method = "POST", .path = "/once/1"}.Bytes());
+  std::this_thread::sleep_for(milliseconds(50));
+  std::atomic<int> ends = 0;
+  const auto start = std::chrono::steady_clock::now();
+  fixture.Vm().Drain([&] { ++ends; });
+  for (int i = 0; i < 30; ++i) {
+    std::this_thread::sleep_for(milliseconds(50));
+    fixture.Vm().Drain([&] { ends += 100; });
+    CPPUNIT_ASSERT(!fixture.Vm().IsReady());
+    const bool is_late = std::chrono::steady_clock::now() - start > milliseconds(1200);
+    CPPUNIT_ASSERT_EQUAL(is_late ? 1 : ends.load(), ends.load());
+  }
+  CPPUNIT_ASSERT_EQUAL(1, ends.load());
+});
+
 }  // namespace
 }  // namespace corianderhoist
