Judge by recent answer times whether a request still fits into a shutdown

Cause: drain_schedule refused everything after the load balancer's delay that could not be certain to end in time, and took the objective of the route for the time of an answer; the listener closed as soon as nothing ran.

Fix: answer_time keeps the smoothed mean and deviation of each route's answers (RFC 6298). A request is started if nearly all answers of its route would come in time. Since upstreams are handed the time until the end, the rest gets the upstream's own answer instead of a closed connection. The listener stays open until the process ends.

--- /dev/null
+++ b/src/serving/answer_time.h
@@ -0,0 +1,39 @@
+/// Estimates the time in which nearly all requests of a route are answered.
+#pragma once
+
+#include <chrono>
+#include <optional>
+
+namespace corianderhoist {
+
+/// Smoothed mean and mean deviation, as in RFC 6298: follows a change within a few answers.
+class answer_time {
+ public:
+  /// Adds the time of an answer, or the time without one at the deadline.
+  void Add(std::chrono::microseconds taken) {
+    if (!mean_) {
+      mean_ = taken;
+      deviation_ = taken / 2;
+      return;
+    }
+    const std::chrono::microseconds error = std::chrono::abs(taken - *mean_);
+    deviation_ += (error - deviation_) / kDeviationSmoothing;
+    *mean_ += (taken - *mean_) / kMeanSmoothing;
+  }
+
+  /// Returns the time in which nearly all answers come, or `unknown` without any answer.
+  std::chrono::milliseconds NearlyAll(std::chrono::milliseconds unknown) const {
+    return mean_ ? std::chrono::ceil<std::chrono::milliseconds>(*mean_ + kDeviations * deviation_)
+                 : unknown;
+  }
+
+ private:
+  static constexpr int kMeanSmoothing = 8;
+  static constexpr int kDeviationSmoothing = 4;
+  static constexpr int kDeviations = 4;
+
+  std::optional<std::chrono::microseconds> mean_;
+  std::chrono::microseconds deviation_{};
+};
+
+}  // namespace corianderhoist
--- a/src/serving/drain_schedule.cpp
+++ b/src/serving/drain_schedule.cpp
@@ -22,13 +22,9 @@
   if (!started_) {
     return true;
   }
+  // A request that cannot be finished here is better served by another VM.
   const steady_time end = UpstreamDeadline(steady_time::max());
-  if (deadline <= end) {
-    return true;
-  }
-  // The load balancer still sends callers here. The upstream gets less time than the caller allows,
-  // which is enough for nearly all requests. Later ones are better served by another VM.
-  return !IsClosing(now) && now + expected <= end;
+  return deadline <= end || now + expected <= end;
 }
 
 steady_time drain_schedule::UpstreamDeadline(steady_time deadline) const {
--- a/src/serving/drain_schedule.h
+++ b/src/serving/drain_schedule.h
@@ -36,7 +36,7 @@
   /// Returns the time by which a request with this deadline has to be answered.
   steady_time AnswerDeadline(steady_time deadline) const;
 
-  /// Whether idle connections are closed and callers are expected to be elsewhere.
+  /// Whether idle connections are closed, because callers are expected to be elsewhere.
   bool IsClosing(steady_time now) const;
   /// Whether the process has to end.
   bool IsOver(steady_time now) const;
--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -157,7 +157,11 @@
 }
 
 bool request_flow::MayStart() const {
-  return context_.drain.MayStart(context_.clock.Now(), deadline_, route_->objective);
+  const auto known = context_.answer_times.find(route_->name);
+  const milliseconds expected = known == context_.answer_times.end()
+                                    ? route_->objective
+                                    : known->second.NearlyAll(route_->objective);
+  return context_.drain.MayStart(context_.clock.Now(), deadline_, expected);
 }
 
 // ---- Start ----
@@ -586,6 +590,7 @@
   }
   if (streaming_ == this_attempt) {
     if (result == call_result::kAnswered) {
+      NoteAnswerTime();
       sink_->End();
       Complete();
     } else {
@@ -612,6 +617,7 @@
       context_.answer_kilobytes.try_emplace(route_->name, kDefaultAnswerKilobytes).first->second;
   kilobytes += kAnswerSizeSmoothing *
                (static_cast<double>(this_attempt->body.size()) / kBytesPerKilobyte - kilobytes);
+  NoteAnswerTime();
   Deliver(this_attempt->head, this_attempt->body);
 }
 
@@ -680,6 +686,11 @@
   }
 }
 
+void request_flow::NoteAnswerTime() {
+  context_.answer_times[route_->name].Add(
+      duration_cast<microseconds>(context_.clock.Now() - arrived_));
+}
+
 void request_flow::Deliver(const answer_head& head, const std::string& body) {
   if (head.status >= kMinServerErrorStatus) {
     NoteFailure();
@@ -775,6 +786,9 @@
   if (is_complete_) {
     return;
   }
+  if (possible_runs_ > 0) {
+    NoteAnswerTime();
+  }
   if (streaming_) {
     // An upstream whose response waits for a stalled caller is not the cause.
     const bool is_caller_stalled =
--- a/src/serving/request_flow.h
+++ b/src/serving/request_flow.h
@@ -7,6 +7,7 @@
 #include "http/front_connection.h"
 #include "http/message.h"
 #include "serving/admission.h"
+#include "serving/answer_time.h"
 #include "serving/drain_schedule.h"
 #include "serving/fleet_link.h"
 #include "serving/fleet_view.h"
@@ -68,8 +69,9 @@
   upstream_tracker tracker;
   std::mt19937_64 random;
   std::unordered_map<request_flow*, std::shared_ptr<request_flow>> flows;
-  std::map<std::string, double> answer_kilobytes;  ///< Moving average, by route.
-  std::map<std::string, double> split_positions;   ///< By route; see `ChoosePart`.
+  std::map<std::string, double> answer_kilobytes;   ///< Moving average, by route.
+  std::map<std::string, answer_time> answer_times;  ///< By route.
+  std::map<std::string, double> split_positions;    ///< By route; see `ChoosePart`.
   drain_schedule drain;
 };
 
@@ -115,6 +117,7 @@
   // Attempts.
   bool StartNextAttempt(bool is_repeat);
   void NoteFailure();
+  void NoteAnswerTime();
   double TransferKilobytes() const;
   call_plan MakePlan(const known_upstream& upstream) const;
   /// The longest time for which a connection may have been idle to be reused for this request.
--- a/src/serving/serving_vm.cpp
+++ b/src/serving/serving_vm.cpp
@@ -179,10 +179,6 @@
     for (const auto& connection : all) {
       connection->CloseIfIdle(now);
     }
-    if (context_->flows.empty()) {
-      // Nothing is left to finish. Callers that connect from now on are refused by the kernel.
-      listener_->Close();
-    }
   }
   const bool is_finished =
       context_->drain.IsClosing(now) && connections_.empty() && context_->flows.empty();
