Start a request during a shutdown if its answer is likely to come in time

With few answers the estimate was three times the first one, and it had no bound.

Fix: the estimate covers about nine of ten answers and is at most the objective of the route, which is also what is known without an answer.

--- a/src/serving/answer_time.h
+++ b/src/serving/answer_time.h
@@ -1,6 +1,7 @@
-/// Estimates the time in which nearly all requests of a route are answered.
+/// Estimates the time in which requests of a route are likely to be answered.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 
@@ -21,16 +22,19 @@
     *mean_ += (taken - *mean_) / kMeanSmoothing;
   }
 
-  /// Returns the time in which nearly all answers come, or `unknown` without any answer.
-  std::chrono::milliseconds NearlyAll(std::chrono::milliseconds unknown) const {
-    return mean_ ? std::chrono::ceil<std::chrono::milliseconds>(*mean_ + kDeviations * deviation_)
-                 : unknown;
+  /// Returns the time in which about nine of ten answers come, at most `bound`, which is also the
+  /// estimate without any answer.
+  std::chrono::milliseconds Likely(std::chrono::milliseconds bound) const {
+    return mean_ ? std::min(std::chrono::ceil<std::chrono::milliseconds>(*mean_ +
+                                                                         kDeviations * deviation_),
+                            bound)
+                 : bound;
   }
 
  private:
   static constexpr int kMeanSmoothing = 8;
   static constexpr int kDeviationSmoothing = 4;
-  static constexpr int kDeviations = 4;
+  static constexpr int kDeviations = 2;
 
   std::optional<std::chrono::microseconds> mean_;
   std::chrono::microseconds deviation_{};
--- a/src/serving/drain_schedule.h
+++ b/src/serving/drain_schedule.h
@@ -29,7 +29,7 @@
   std::chrono::milliseconds ElapsedAt(steady_time time) const;
 
   /// Whether a request that has not been sent to an upstream may still be sent. `deadline` is that
-  /// of the request, `expected` the time in which nearly all requests of its route are answered.
+  /// of the request, `expected` the time in which its answer is likely.
   bool MayStart(steady_time now, steady_time deadline, std::chrono::milliseconds expected) const;
   /// Returns the time until which an upstream may work on a request with this deadline.
   steady_time UpstreamDeadline(steady_time deadline) const;
--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -160,7 +160,7 @@
   const auto known = context_.answer_times.find(route_->name);
   const milliseconds expected = known == context_.answer_times.end()
                                     ? route_->objective
-                                    : known->second.NearlyAll(route_->objective);
+                                    : known->second.Likely(route_->objective);
   return context_.drain.MayStart(context_.clock.Now(), deadline_, expected);
 }
 
