Close no connection before its caller has taken the last answer

Callers saw: an answer with `Connection: close` was cut if the caller took longer than 1 s to read it. During a shutdown every answer carries that field, and idle connections are closed in the same way, so slow callers lost whole answers of requests that had run (LOST).

Cause: the timeout of the lingering close started when the answer was complete in the VM, and ended the connection with the bytes that the kernel had not accepted yet.

Evidence: 200 kB to a caller that starts to read after 2 s.

Fix: the stall timeout of answers applies until all bytes are written, then that of the lingering close.

--- a/src/http/front_connection.cpp
+++ b/src/http/front_connection.cpp
@@ -177,7 +177,11 @@
     return;
   }
   if (is_lingering_) {
-    if (now > last_progress_ + kLingerTimeout) {
+    const bool is_answer_unsent = stream_->Unsent() > 0;
+    if (now > last_progress_ + (is_answer_unsent ? limits_.stall_timeout : kLingerTimeout)) {
+      if (is_answer_unsent) {
+        stream_->ResetOnClose();
+      }
       End();
     }
     return;
--- a/tests/support/serving_fixture.cpp
+++ b/tests/support/serving_fixture.cpp
@@ -6,6 +6,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -169,8 +170,14 @@
   return head.substr(begin, head.find("\r\n", begin) - begin);
 }
 
-test_caller::test_caller(std::uint16_t port) {
+test_caller::test_caller(std::uint16_t port, bool is_slow_link) {
   descriptor_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (is_slow_link) {
+    constexpr int kSegmentBytes = 536;
+    constexpr int kReceiveBytes = 4096;
+    ::setsockopt(descriptor_, IPPROTO_TCP, TCP_MAXSEG, &kSegmentBytes, sizeof(kSegmentBytes));
+    ::setsockopt(descriptor_, SOL_SOCKET, SO_RCVBUF, &kReceiveBytes, sizeof(kReceiveBytes));
+  }
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(port);
--- a/tests/support/serving_fixture.h
+++ b/tests/support/serving_fixture.h
@@ -77,7 +77,8 @@
 /// A caller's connection with blocking reads.
 class test_caller {
  public:
-  explicit test_caller(std::uint16_t port);
+  /// With `is_slow_link`, the kernels of both sides buffer few bytes.
+  explicit test_caller(std::uint16_t port, bool is_slow_link = false);
   ~test_caller();
   test_caller(const test_caller&) = delete;
   test_caller& operator=(const test_caller&) = delete;
--- a/tests/unit/serving/stop_test.cpp
+++ b/tests/unit/serving/stop_test.cpp
@@ -376,5 +376,46 @@
   CPPUNIT_ASSERT_EQUAL(1, ends.load());
 });
 
+struct slow_reader_case {
+  std::string name;
+  bool is_stopping;
+  std::string more_headers;
+};
+
+// Guards against a connection that is closed before its caller has taken the whole answer.
+const test_table kSlowReader(
+    "an answer that its caller reads after 2 s is whole",
+    std::vector<slow_reader_case>{
+        {"on a kept connection", false, {}},
+        {"on a connection that its caller closes", false, "Connection: close\r\n"},
+        {"during a shutdown", true, {}},
+    },
+    std::function([](const slow_reader_case& row) {
+      serving_fixture fixture;
+      fixture.SetDrain(milliseconds(300), milliseconds(5000));
+      const std::string body(200'000, 'x');
+      fixture.Add("u1", "reads", [&](const scripted_request& request) {
+        return scripted_answer{SignedAnswer(request, 200, body), after_answer::kKeep, {}, {}};
+      });
+      fixture.Start();
+      std::thread stop;
+      if (row.is_stopping) {
+        stop = std::thread([&] { fixture.Stop(); });
+        std::this_thread::sleep_for(milliseconds(100));
+      }
+      caller_answer answer;
+      {
+        test_caller caller(fixture.Port(), true);
+        caller.Send(caller_request{.more_headers = row.more_headers}.Bytes());
+        std::this_thread::sleep_for(milliseconds(2000));
+        answer = caller.Receive(milliseconds(2500));
+      }
+      if (stop.joinable()) {
+        stop.join();
+      }
+      CPPUNIT_ASSERT_EQUAL(200, answer.status);
+      CPPUNIT_ASSERT_EQUAL(body.size(), answer.body.size());
+    }));
+
 }  // namespace
 }  // namespace corianderhoist
