Answer the requests that are due when the end of a shutdown is noticed late

Callers saw: a closed connection instead of 504 for a request that was running at the end of a shutdown, if the event loop was held up past the end.

Cause: the end of the process was checked by a timer of its own, which can fire before the overdue timers of the requests. A request without time left had its timer started anew.

Evidence: event loop held up from 500 ms before the end to 300 ms after it, upstream that hangs.

Fix: OnDrainProgress ends a request without time left itself.

--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -826,8 +826,12 @@
     Refuse(error_kind::kShuttingDown, "the VM is shutting down");
     return;
   }
-  if (deadline_timer_.remainingTimeAsDuration() > TimeLeft()) {
-    deadline_timer_.start(std::max(TimeLeft(), milliseconds(1)));
+  const milliseconds left = TimeLeft();
+  if (left.count() <= 0) {
+    // The event loop is late. The process may end before the timer fires.
+    OnDeadline();
+  } else if (deadline_timer_.remainingTimeAsDuration() > left) {
+    deadline_timer_.start(left);
   }
 }
 
--- a/src/serving/request_flow.h
+++ b/src/serving/request_flow.h
@@ -92,8 +92,9 @@
   request_flow& operator=(const request_flow&) = delete;
 
   void Start();
-  /// Applies the end of the drain to the time left, and refuses the request if it has not been sent
-  /// to an upstream and can no longer be answered in time. Called repeatedly during a drain.
+  /// Applies the end of the drain to the time left, ends the request if none is left, and refuses
+  /// it if it has not been sent to an upstream and can no longer be answered in time. Called
+  /// repeatedly during a drain.
   void OnDrainProgress();
   /// Records that the shutdown of the VM ends this request without an answer.
   void NoteCut() const;
--- a/tests/unit/serving/stop_test.cpp
+++ b/tests/unit/serving/stop_test.cpp
@@ -417,5 +417,37 @@
       CPPUNIT_ASSERT_EQUAL(body.size(), answer.body.size());
     }));
 
+struct stall_case {
+  std::string name;
+  milliseconds work;
+  int status;
+};
+
+// Guards against a request that is cut because the event loop was late at the end of the shutdown.
+const test_table kStall("stop answers although the event loop is held up until after its end,",
+                        std::vector<stall_case>{
+                            {"an upstream that has answered", milliseconds(800), 200},
+                            {"an upstream that hangs", milliseconds(20'000), 504}},
+                        std::function([](const stall_case& row) {
+                          serving_fixture fixture;
+                          fixture.SetDrain(milliseconds(200), milliseconds(1200));
+                          const bool is_hanging = row.status != 200;
+                          fixture.Add("u1", "orders", [&](const scripted_request& request) {
+                            return is_hanging ? scripted_answer{"", after_answer::kHang, {}, {}}
+                                              : AnswerAfter(request, row.work);
+                          });
+                          fixture.Start();
+                          test_caller caller(fixture.Port());
+                          caller.Send(caller_request{.method = "POST", .path = "/once/1"}.Bytes());
+                          std::this_thread::sleep_for(milliseconds(100));
+                          std::thread stop([&] { fixture.Stop(); });
+                          std::this_thread::sleep_for(milliseconds(600));
+                          fixture.Vm().Loop().Post(
+                              [] { std::this_thread::sleep_for(milliseconds(800)); });
+                          const caller_answer answer = caller.Receive();
+                          stop.join();
+                          CPPUNIT_ASSERT_EQUAL(row.status, answer.status);
+                        }));
+
 }  // namespace
 }  // namespace corianderhoist
