Hand upstreams the time that is left when the request is sent

Callers saw: 504 of the VM in place of the upstream's own answer, when a request was sent to another region on a new connection late in a shutdown.

Cause: the time left was written before the connection was established, which may take 250 ms, or 400 ms to another region. An upstream works on for that time, while drain_schedule leaves 200 ms for its answer.

Evidence: unit test with a connection that takes 300 ms of 1,000 ms. With the time taken at the start, as before, 1,000 ms are handed; now 700 ms.

Fix: upstream_call writes the field when it sends the head.

--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -342,8 +342,6 @@
            IsSameName(field.name, names.deadline_ms) || IsSameName(field.name, names.instance) ||
            IsSameName(field.name, names.workspace);
   });
-  headers.push_back(
-      {names.deadline_ms, std::to_string(std::max<std::int64_t>(UpstreamTimeLeft().count(), 1))});
   headers.push_back({names.instance, upstream.entry.id});
   if (workspace_ != nullptr) {
     headers.push_back({names.workspace, workspace_->name});
@@ -366,6 +364,7 @@
                   (request_.method != "GET" && request_.method != "HEAD");
   const bool is_far = context_.settings.place.DistanceTo(upstream.entry.data_centre) ==
                       network_distance::kOtherRegion;
+  plan.deadline = context_.drain.UpstreamDeadline(deadline_);
   plan.connect_timeout =
       std::min(is_far ? kOtherRegionConnectTimeout : kConnectTimeout, UpstreamTimeLeft());
   plan.max_idle_time = MaxIdleTime();
--- a/src/serving/upstream_call.cpp
+++ b/src/serving/upstream_call.cpp
@@ -204,6 +204,9 @@
   for (const header_field& field : plan_.headers) {
     text += field.name + ": " + field.value + "\r\n";
   }
+  const auto left = std::chrono::duration_cast<milliseconds>(plan_.deadline - clock_.Now());
+  text += header_names_.deadline_ms + ": " +
+          std::to_string(std::max<std::int64_t>(left.count(), 1)) + "\r\n";
   if (plan_.body_length) {
     if (plan_.has_body) {
       text += "Content-Length: " + std::to_string(*plan_.body_length) + "\r\n";
--- a/src/serving/upstream_call.h
+++ b/src/serving/upstream_call.h
@@ -86,11 +86,12 @@
   upstream_handle upstream = 0;
   endpoint address;
   std::string request_line;  ///< Method and target, without the version.
-  header_fields headers;     ///< Without framing fields, which are added.
+  header_fields headers;     ///< Without framing fields and the time left, which are added.
   std::string attempt_id;    ///< Expected in the response; empty if the request has none.
   bool is_head_method = false;
   bool has_body = false;                     ///< Otherwise no framing fields are sent.
   std::optional<std::uint64_t> body_length;  ///< Empty for a chunked body.
+  steady_time deadline{};  ///< The upstream is handed the time from the sending until then.
   std::chrono::milliseconds connect_timeout{};
   std::chrono::milliseconds max_idle_time{};  ///< Of a reused connection; 0: none is reused.
   bool must_be_signed = true;                 ///< A success without a signature is invalid.
--- a/tests/unit/serving/stop_test.cpp
+++ b/tests/unit/serving/stop_test.cpp
@@ -1,12 +1,15 @@
 // Graceful shutdown of an entry VM under a load that goes on until its process is gone.
+#include "platform/header_names.h"
 #include "serving/answer_time.h"
 #include "serving/drain_schedule.h"
+#include "serving/upstream_call.h"
 #include "support/serving_fixture.h"
 #include "support/test_table.h"
 
 #include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <future>
 #include <memory>
 #include <mutex>
 #include <random>
@@ -449,5 +452,36 @@
                           CPPUNIT_ASSERT_EQUAL(row.status, answer.status);
                         }));
 
+// Guards against an upstream that works on after the end, because connecting to it took long.
+const test_table kConnectTime("upstream call", "hands the time that is left after connecting", [] {
+  scripted_upstream upstream([](const auto& request) { return AnswerAfter(request, {}); });
+  const upstream_header_names names = platform::UpstreamHeaderNames();
+  manual_clock clock;
+  io_loop loop("test");
+  connection_cache cache(clock);
+  std::shared_ptr<upstream_call> call;
+  std::promise<void> ended;
+  loop.RunAndWait([&] {
+    call_plan plan;
+    plan.address = {"127.0.0.1", upstream.Port()};
+    plan.request_line = "GET /safe/1";
+    plan.body_length = 0;
+    plan.deadline = clock.Now() + milliseconds(1000);
+    plan.connect_timeout = milliseconds(1000);
+    upstream_call::events events;
+    events.on_end = [&ended](call_result, const std::string&) { ended.set_value(); };
+    call = std::make_shared<upstream_call>(cache, names, clock, plan, events);
+    call->Start();
+    clock.Advance(milliseconds(300));
+  });
+  ended.get_future().wait_for(std::chrono::seconds(5));
+  loop.RunAndWait([&] {
+    call.reset();
+    cache.Sweep([](upstream_handle) { return false; });
+  });
+  CPPUNIT_ASSERT_EQUAL(std::size_t(1), upstream.Requests().size());
+  CPPUNIT_ASSERT_EQUAL(std::string("700"), upstream.Requests().at(0).Header("X-Deadline-Ms"));
+});
+
 }  // namespace
 }  // namespace corianderhoist
