Send no request whose time has ended while its connection was established

A process that was suspended between the plan of an attempt and the connection would have sent a request whose deadline had passed, with a time left of 1 ms. Found by reading; no run shows callers affected.

--- a/src/serving/upstream_call.cpp
+++ b/src/serving/upstream_call.cpp
@@ -200,6 +200,11 @@
 
 void upstream_call::SendHead() {
   const auto keep_alive = shared_from_this();
+  if (clock_.Now() >= plan_.deadline) {
+    // The process may have been suspended since the plan was made.
+    Finish(call_result::kNotConnected, "no time left to send the request");
+    return;
+  }
   std::string text = plan_.request_line + " HTTP/1.1\r\n";
   for (const header_field& field : plan_.headers) {
     text += field.name + ": " + field.value + "\r\n";
