Name the shutdown as the cause when it ends a request that no upstream took; count unsent answers

Retry-After is short only if another VM exists. `drained` counts connections with unsent answers, which no flow stands for any more.

--- a/src/http/front_connection.cpp
+++ b/src/http/front_connection.cpp
@@ -17,7 +17,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kLingerTimeout(1000);
-// Several round trips between a caller and its nearest VM.
+// Several round trips between a caller and its nearest VM. A request may arrive that much later
+// than the connection was opened or the last answer was sent.
 constexpr milliseconds kRequestTransitTime(250);
 constexpr std::size_t kMaxPipelinedRequests = 8;
 constexpr std::size_t kMaxBufferedBodyBytes = 128UL << 10U;
--- a/src/http/front_connection.h
+++ b/src/http/front_connection.h
@@ -82,6 +82,8 @@
   void CloseIfIdle(steady_time now);
   /// Whether a request is being read or answered.
   bool IsBusy() const;
+  /// Bytes of answers that the caller has not taken yet.
+  std::size_t Unsent() const { return stream_ ? stream_->Unsent() : 0; }
 
  private:
   class sink;
--- a/src/serving/drain_schedule.cpp
+++ b/src/serving/drain_schedule.cpp
@@ -22,22 +22,27 @@
   if (!started_) {
     return true;
   }
-  // A request that cannot be finished here is better served by another VM.
-  const steady_time end = UpstreamDeadline(steady_time::max());
-  return deadline <= end || now + expected <= end;
+  // Any other request is better served by another VM.
+  return deadline <= UpstreamEnd() || now + expected <= UpstreamEnd();
+}
+
+steady_time drain_schedule::AnswerEnd() const {
+  return *started_ + settings_.deadline - kAnswerDeliveryTime;
+}
+
+steady_time drain_schedule::UpstreamEnd() const {
+  return AnswerEnd() - kUpstreamAnswerTime;
 }
 
 steady_time drain_schedule::UpstreamDeadline(steady_time deadline) const {
-  return started_ ? std::min(deadline, AnswerDeadline(steady_time::max()) - kUpstreamAnswerTime)
-                  : deadline;
+  return started_ ? std::min(deadline, UpstreamEnd()) : deadline;
 }
 
 steady_time drain_schedule::AnswerDeadline(steady_time deadline) const {
-  return started_ ? std::min(deadline, *started_ + settings_.deadline - kAnswerDeliveryTime)
-                  : deadline;
+  return started_ ? std::min(deadline, AnswerEnd()) : deadline;
 }
 
-bool drain_schedule::IsClosing(steady_time now) const {
+bool drain_schedule::IsClosingIdleConnections(steady_time now) const {
   return started_ && now >= *started_ + settings_.delay;
 }
 
--- a/src/serving/drain_schedule.h
+++ b/src/serving/drain_schedule.h
@@ -37,11 +37,14 @@
   steady_time AnswerDeadline(steady_time deadline) const;
 
   /// Whether idle connections are closed, because callers are expected to be elsewhere.
-  bool IsClosing(steady_time now) const;
+  bool IsClosingIdleConnections(steady_time now) const;
   /// Whether the process has to end.
   bool IsOver(steady_time now) const;
 
  private:
+  steady_time AnswerEnd() const;
+  steady_time UpstreamEnd() const;
+
   const drain_settings settings_;
   std::optional<steady_time> started_;
 };
--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -721,7 +721,7 @@
   if (!base) {
     return {};
   }
-  if (kind == error_kind::kShuttingDown) {
+  if (kind == error_kind::kShuttingDown && context_.view.Limits().active_vms > 1) {
     // Other VMs can serve the caller at once.
     return kMinRetryElsewhere + milliseconds(static_cast<std::int64_t>(
                                     context_.random() % kRetryElsewhereJitter.count()));
@@ -759,6 +759,8 @@
 void request_flow::FinishWithoutAnswer() {
   if (failure_head_) {
     Deliver(*failure_head_, failure_body_);
+  } else if (possible_runs_ == 0 && !MayStart()) {
+    Refuse(error_kind::kShuttingDown, "the VM is shutting down");
   } else if (possible_runs_ == 0) {
     Refuse(error_kind::kUpstreamUnreachable, "no upstream took the request");
   } else {
--- a/src/serving/serving_vm.cpp
+++ b/src/serving/serving_vm.cpp
@@ -171,7 +171,8 @@
   for (const auto& flow : flows) {
     flow->OnDrainProgress();
   }
-  if (context_->drain.IsClosing(now)) {
+  const bool is_closing_idle = context_->drain.IsClosingIdleConnections(now);
+  if (is_closing_idle) {
     std::vector<std::shared_ptr<front_connection>> all;
     for (const auto& [key, connection] : connections_) {
       all.push_back(connection);
@@ -180,8 +181,7 @@
       connection->CloseIfIdle(now);
     }
   }
-  const bool is_finished =
-      context_->drain.IsClosing(now) && connections_.empty() && context_->flows.empty();
+  const bool is_finished = is_closing_idle && connections_.empty() && context_->flows.empty();
   if (is_finished || context_->drain.IsOver(now)) {
     FinishDrain();
   }
@@ -194,11 +194,14 @@
   for (const auto& [key, flow] : context_->flows) {
     flow->NoteCut();
   }
+  const auto unsent = std::count_if(connections_.begin(), connections_.end(),
+                                    [](const auto& each) { return each.second->Unsent() > 0; });
   log_event(log_level::kInfo, "drained")
       .Field("drain_ms", std::int64_t(context_->drain.ElapsedAt(clock_.Now()).count()))
       .Field("accepted", connections_while_draining_)
       .Field("running", std::uint64_t(context_->flows.size()))
-      .Field("connections", std::uint64_t(connections_.size()));
+      .Field("connections", std::uint64_t(connections_.size()))
+      .Field("unsent_answers", std::int64_t(unsent));
   on_stopped_();
 }
 
--- a/tests/unit/serving/stop_test.cpp
+++ b/tests/unit/serving/stop_test.cpp
@@ -288,6 +288,9 @@
   scripted_upstream& upstream = fixture.Add("u1", "orders", [](const scripted_request& request) {
     return AnswerAfter(request, milliseconds(900));
   });
+  shared_limits limits;
+  limits.active_vms = 2;
+  fixture.Core().SetLimits(limits);
   fixture.Start();
   test_caller running(fixture.Port());
   running.Send(caller_request{.method = "POST", .path = "/once/1"}.Bytes());
