Believe no refusal without an id on a connection that was used before

Callers were told "not run" (503), or an order was sent to a second upstream, though an upstream had run it: a faulty upstream wrote an earlier refusal without its id before the next answer of a kept connection.

Cause: OnHead checked for X-Not-Executed and 421 before it checked that an answer without an id arrived on a reused connection. An answer without an id is now attributed to the request only if it is the first answer on a new connection; otherwise the outcome is unknown (502).

--- a/src/serving/upstream_call.cpp
+++ b/src/serving/upstream_call.cpp
@@ -288,16 +288,18 @@
     return;
   }
   head_ = head;
+  const bool is_only_answer = !is_reused_ && skipped_answers_ == 0;
   const bool is_success = head.status >= kMinSuccessStatus && head.status < kMinRedirectStatus;
-  if (FindHeader(head.headers, header_names_.not_executed) != nullptr) {
+  if (id == nullptr && !is_only_answer && !plan_.attempt_id.empty()) {
+    result_ = call_result::kBroken;
+    result_detail_ = is_reused_ ? "answer without an id on a reused connection"
+                                : "answer without an id after one to another request";
+  } else if (FindHeader(head.headers, header_names_.not_executed) != nullptr) {
     result_ = call_result::kNotExecuted;
     result_detail_ = "status " + std::to_string(head.status);
   } else if (head.status == kMisdirectedRequestStatus) {
     result_ = call_result::kWrongInstance;
     result_detail_ = "another incarnation has the address";
-  } else if (is_reused_ && id == nullptr && !plan_.attempt_id.empty()) {
-    result_ = call_result::kBroken;
-    result_detail_ = "answer without an id on a reused connection";
   } else if (is_success && plan_.must_be_signed &&
              FindHeader(head.headers, header_names_.signature) == nullptr) {
     result_ = call_result::kBroken;
--- a/tests/support/scripted_upstream.cpp
+++ b/tests/support/scripted_upstream.cpp
@@ -152,6 +152,10 @@
   }
   request.head = buffer.substr(0, end + 4);
   buffer.erase(0, end + 4);
+  if (early_bytes_) {
+    const std::string early = early_bytes_(request);
+    ::send(descriptor, early.data(), early.size(), MSG_NOSIGNAL);
+  }
   if (request.Header("Transfer-Encoding") == "chunked") {
     while (!TakeChunkedBody(buffer, request.body)) {
       if (!ReadMore(descriptor, buffer, is_stopping_)) {
@@ -187,6 +191,10 @@
     const scripted_answer answer = script_(request);
     std::this_thread::sleep_for(answer.delay);
     ::send(descriptor, answer.bytes.data(), answer.bytes.size(), MSG_NOSIGNAL);
+    if (!answer.late_bytes.empty()) {
+      std::this_thread::sleep_for(answer.late_by);
+      ::send(descriptor, answer.late_bytes.data(), answer.late_bytes.size(), MSG_NOSIGNAL);
+    }
     switch (answer.after) {
       case after_answer::kKeep:
         break;
--- a/tests/support/scripted_upstream.h
+++ b/tests/support/scripted_upstream.h
@@ -27,6 +27,8 @@
   after_answer after = after_answer::kKeep;
   std::chrono::milliseconds delay{};
   std::string repeated;
+  std::string late_bytes;  ///< Sent `late_by` after `bytes`.
+  std::chrono::milliseconds late_by{};
 };
 
 /// A request as received; a chunked body is decoded.
@@ -49,6 +51,11 @@
   scripted_upstream& operator=(const scripted_upstream&) = delete;
 
   std::uint16_t Port() const { return port_; }
+  /// `script` returns bytes that are sent once the head of a request has arrived, before its body
+  /// is read. Call before the first request.
+  void SetEarlyBytes(std::function<std::string(const scripted_request&)> script) {
+    early_bytes_ = std::move(script);
+  }
   std::vector<scripted_request> Requests() const;
   /// Number of connections that the peer closed after an answer with `after_answer::kHang` or
   /// `after_answer::kFlood`.
@@ -60,6 +67,7 @@
   bool ReadRequest(int descriptor, std::string& buffer, scripted_request& request) const;
 
   const std::function<scripted_answer(const scripted_request&)> script_;
+  std::function<std::string(const scripted_request&)> early_bytes_;
   int listener_ = -1;
   std::uint16_t port_ = 0;
   std::atomic<bool> is_stopping_ = false;
--- /dev/null
+++ b/tests/unit/serving/answer_attribution_test.cpp
@@ -0,0 +1,191 @@
+// Faulty upstreams that write answers to other requests, or parts of answers. What callers are told
+// is compared with what upstreams ran.
+#include "support/serving_fixture.h"
+#include "support/test_table.h"
+
+#include <map>
+#include <random>
+#include <thread>
+
+namespace corianderhoist {
+namespace {
+
+using std::chrono::milliseconds;
+
+enum class caller_id {
+  kOwn,     ///< Each request has its own id.
+  kShared,  ///< Both requests have the same id.
+  kEmpty,   ///< The requests have an empty id.
+  kNone,    ///< The requests have no id.
+};
+
+/// Makes the bytes that are written again from the ids of the refused request and of this one.
+using former_answer = std::function<std::string(const std::string& former, const std::string& own)>;
+
+std::string Refusal(int status, const std::string& id_fields, const std::string& more = {}) {
+  return "HTTP/1.1 " + std::to_string(status) + " No\r\n" + id_fields +
+         "X-Not-Executed: 1\r\nContent-Length: 2\r\n" + more + "\r\nno";
+}
+
+std::string IdField(const std::string& id) {
+  return "X-Attempt-Id: " + id + "\r\n";
+}
+
+std::string Send(test_caller& caller, caller_request request, caller_id kind) {
+  std::string bytes = request.Bytes();
+  const std::string field = IdField(request.id);
+  if (kind == caller_id::kNone) {
+    bytes.erase(bytes.find(field), field.size());
+  }
+  caller.Send(bytes);
+  return bytes;
+}
+
+/// An order is refused; its refusal is written again before the answer to the next order, which the
+/// upstream runs.
+struct former_case {
+  std::string name;
+  former_answer former;
+  caller_id ids;
+  int status;  ///< Of the order that runs.
+};
+
+former_answer Without(int status) {
+  return [status](const std::string&, const std::string&) { return Refusal(status, {}); };
+}
+
+const former_answer kFormerId = [](const std::string& former, const std::string&) {
+  return Refusal(503, IdField(former));
+};
+
+const test_table kFormerRefusals(
+    "former refusal",
+    std::vector<former_case>{
+        {"503 without an id", Without(503), caller_id::kOwn, 502},
+        {"429 without an id", Without(429), caller_id::kOwn, 502},
+        {"400 without an id", Without(400), caller_id::kOwn, 502},
+        {"421 without an id", Without(421), caller_id::kOwn, 502},
+        {"421 without an id and without a statement",
+         [](const std::string&, const std::string&) {
+           return std::string("HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n");
+         },
+         caller_id::kOwn, 502},
+        {"without an id behind one with an id",
+         [](const std::string& former, const std::string&) {
+           return Refusal(503, IdField(former)) + Refusal(503, {});
+         },
+         caller_id::kOwn, 502},
+        {"without an id behind an interim answer",
+         [](const std::string&, const std::string&) {
+           return "HTTP/1.1 100 Continue\r\n\r\n" + Refusal(503, {});
+         },
+         caller_id::kOwn, 502},
+        {"with the id of the refused request", kFormerId, caller_id::kOwn, 200},
+        {"with an empty id",
+         [](const std::string&, const std::string&) { return Refusal(503, IdField("")); },
+         caller_id::kOwn, 200},
+    },
+    std::function([](const former_case& row) {
+      serving_fixture fixture;
+      std::mutex lock;
+      std::map<std::size_t, std::string> refused;  // Id of the refused request, by connection.
+      scripted_upstream& upstream =
+          fixture.Add("u1", "orders", [&](const scripted_request& request) {
+            const std::lock_guard guard(lock);
+            const std::string id = request.Header("X-Attempt-Id");
+            if (request.head.starts_with("POST /once/refused")) {
+              refused[request.connection] = id;
+              return scripted_answer{Refusal(503, IdField(id))};
+            }
+            const auto found = refused.find(request.connection);
+            return scripted_answer{
+                (found != refused.end() ? row.former(found->second, id) : std::string()) +
+                SignedAnswer(request, 200, "ran")};
+          });
+      fixture.Start();
+      const bool is_empty = row.ids == caller_id::kEmpty;
+      caller_request order{
+          .method = "POST", .path = "/once/refused", .id = is_empty ? "" : "id0", .body = "b"};
+      test_caller caller(fixture.Port());
+      Send(caller, order, row.ids);
+      CPPUNIT_ASSERT_EQUAL(503, caller.Receive().status);
+      order.path = "/once/run";
+      order.id = row.ids == caller_id::kOwn ? "id1" : order.id;
+      Send(caller, order, row.ids);
+      const caller_answer answer = caller.Receive();
+      CPPUNIT_ASSERT_EQUAL(std::size_t(2), upstream.Requests().size());
+      CPPUNIT_ASSERT_EQUAL(row.status, answer.status);
+      if (row.status == 502) {
+        CPPUNIT_ASSERT_EQUAL(std::string("unknown"), answer.Header("Corianderhoist-Outcome"));
+      } else {
+        CPPUNIT_ASSERT_EQUAL(std::string("ran"), answer.body);
+      }
+    }));
+
+/// The only upstream answers the first request on a new connection.
+struct fresh_case {
+  std::string name;
+  std::function<scripted_answer(const std::string& id)> script;
+  caller_id ids;
+  int status;
+};
+
+const test_table kFreshConnections(
+    "answer on a new connection",
+    std::vector<fresh_case>{
+        {"a refusal without an id",
+         [](const std::string&) { return scripted_answer{Refusal(503, {})}; }, caller_id::kOwn,
+         503},
+        {"a refusal without an id to a request without one",
+         [](const std::string&) { return scripted_answer{Refusal(400, {})}; }, caller_id::kNone,
+         503},
+        {"a refusal behind an interim answer",
+         [](const std::string& id) {
+           return scripted_answer{"HTTP/1.1 100 Continue\r\n\r\n" + Refusal(503, IdField(id))};
+         },
+         caller_id::kOwn, 503},
+        {"a refusal whose body breaks off",
+         [](const std::string& id) {
+           const std::string whole = Refusal(503, IdField(id));
+           return scripted_answer{whole.substr(0, whole.size() - 1), after_answer::kClose};
+         },
+         caller_id::kOwn, 503},
+        {"a refusal whose body is reset",
+         [](const std::string& id) {
+           const std::string whole = Refusal(503, IdField(id));
+           return scripted_answer{whole.substr(0, whole.size() - 1), after_answer::kReset};
+         },
+         caller_id::kOwn, 503},
+        {"a refusal whose head breaks off",
+         [](const std::string& id) {
+           const std::string whole = Refusal(503, IdField(id));
+           return scripted_answer{whole.substr(0, whole.size() - 4), after_answer::kClose};
+         },
+         caller_id::kOwn, 502},
+        {"a refusal of another request and a close",
+         [](const std::string&) {
+           return scripted_answer{Refusal(503, IdField("other")), after_answer::kClose};
+         },
+         caller_id::kOwn, 502},
+        {"a refusal without an id behind one of another request",
+         [](const std::string&) {
+           return scripted_answer{Refusal(503, IdField("other")) + Refusal(503, {})};
+         },
+         caller_id::kOwn, 502},
+    },
+    std::function([](const fresh_case& row) {
+      serving_fixture fixture;
+      fixture.Add("u1", "orders", [&](const scripted_request& request) {
+        return row.script(request.Header("X-Attempt-Id"));
+      });
+      fixture.Start();
+      test_caller caller(fixture.Port());
+      Send(caller, {.method = "POST", .path = "/once/1", .body = "b"}, row.ids);
+      const caller_answer answer = caller.Receive();
+      CPPUNIT_ASSERT_EQUAL(row.status, answer.status);
+      CPPUNIT_ASSERT_EQUAL(std::string(row.status == 502 ? "unknown" : "not_run"),
+                           answer.Header("Corianderhoist-Outcome"));
+    }));
+
+}  // namespace
+}  // namespace corianderhoist
