Send a request without an attempt id on a new connection only

Callers saw: a request without an id, or with an empty one, was answered with an earlier refusal (503 for an order that ran) or with an answer that had the id of another request.

Cause: without an id in the request, ids in answers were not compared, and the connection was reused.

Fix: such a request gets a new connection, where its answer is the first one; an answer with another id than the request's belongs to another request, also if the request has none.

--- a/src/serving/upstream_call.cpp
+++ b/src/serving/upstream_call.cpp
@@ -161,7 +161,9 @@
 
 void upstream_call::Start() {
   ResetReader();
-  if (plan_.max_idle_time.count() > 0) {
+  // Without an id, an answer to an earlier request on the connection could not be told from the own
+  // one.
+  if (plan_.max_idle_time.count() > 0 && !plan_.attempt_id.empty()) {
     stream_ = cache_.Take(plan_.upstream, plan_.max_idle_time);
   }
   if (stream_) {
@@ -283,14 +285,14 @@
 void upstream_call::OnHead(const answer_head& head) {
   is_keep_alive_ = false;
   const std::string* id = FindHeader(head.headers, header_names_.attempt_id);
-  is_other_request_ = id != nullptr && !plan_.attempt_id.empty() && *id != plan_.attempt_id;
+  is_other_request_ = id != nullptr && *id != plan_.attempt_id;
   if (is_other_request_) {
     return;
   }
   head_ = head;
   const bool is_only_answer = !is_reused_ && skipped_answers_ == 0;
   const bool is_success = head.status >= kMinSuccessStatus && head.status < kMinRedirectStatus;
-  if (id == nullptr && !is_only_answer && !plan_.attempt_id.empty()) {
+  if (id == nullptr && !is_only_answer) {
     result_ = call_result::kBroken;
     result_detail_ = is_reused_ ? "answer without an id on a reused connection"
                                 : "answer without an id after one to another request";
--- a/tests/unit/serving/answer_attribution_test.cpp
+++ b/tests/unit/serving/answer_attribution_test.cpp
@@ -84,6 +84,9 @@
         {"with an empty id",
          [](const std::string&, const std::string&) { return Refusal(503, IdField("")); },
          caller_id::kOwn, 200},
+        {"of a caller with empty ids", kFormerId, caller_id::kEmpty, 200},
+        {"without an id, of a caller with empty ids", Without(503), caller_id::kEmpty, 200},
+        {"without an id, of a caller without ids", Without(503), caller_id::kNone, 200},
     },
     std::function([](const former_case& row) {
       serving_fixture fixture;
@@ -172,6 +175,19 @@
            return scripted_answer{Refusal(503, IdField("other")) + Refusal(503, {})};
          },
          caller_id::kOwn, 502},
+        {"a refusal with an id to a request without one",
+         [](const std::string&) {
+           return scripted_answer{Refusal(503, IdField("other")), after_answer::kClose};
+         },
+         caller_id::kNone, 502},
+        {"an answer with an id to a request without one",
+         [](const std::string&) {
+           return scripted_answer{
+               "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Signature: s\r\n"
+               "Content-Length: 2\r\n\r\nok",
+               after_answer::kClose};
+         },
+         caller_id::kNone, 502},
     },
     std::function([](const fresh_case& row) {
       serving_fixture fixture;
