Attribute no answer with several different ids

Callers saw: an answer with two X-Attempt-Id fields, the first of them the request's, was taken as its answer (503 for an order that ran); with the first of another request it was skipped.

Cause: only the first field was compared.

Fix: the outcome is unknown (502). Equal fields are treated like one.

--- a/src/serving/upstream_call.cpp
+++ b/src/serving/upstream_call.cpp
@@ -41,6 +41,14 @@
   return parsed.ec == std::errc() ? std::optional(seconds(value)) : std::nullopt;
 }
 
+// Whether the fields with this name have different values.
+bool IsAmbiguous(const header_fields& headers, std::string_view name) {
+  const std::string* first = FindHeader(headers, name);
+  return std::any_of(headers.begin(), headers.end(), [&](const header_field& field) {
+    return IsSameName(field.name, name) && field.value != *first;
+  });
+}
+
 }  // namespace
 
 // ---- connection_cache ----
@@ -285,14 +293,18 @@
 void upstream_call::OnHead(const answer_head& head) {
   is_keep_alive_ = false;
   const std::string* id = FindHeader(head.headers, header_names_.attempt_id);
-  is_other_request_ = id != nullptr && *id != plan_.attempt_id;
+  const bool is_ambiguous = IsAmbiguous(head.headers, header_names_.attempt_id);
+  is_other_request_ = id != nullptr && *id != plan_.attempt_id && !is_ambiguous;
   if (is_other_request_) {
     return;
   }
   head_ = head;
   const bool is_only_answer = !is_reused_ && skipped_answers_ == 0;
   const bool is_success = head.status >= kMinSuccessStatus && head.status < kMinRedirectStatus;
-  if (id == nullptr && !is_only_answer) {
+  if (is_ambiguous) {
+    result_ = call_result::kBroken;
+    result_detail_ = "answer with several ids";
+  } else if (id == nullptr && !is_only_answer) {
     result_ = call_result::kBroken;
     result_detail_ = is_reused_ ? "answer without an id on a reused connection"
                                 : "answer without an id after one to another request";
--- a/tests/unit/serving/answer_attribution_test.cpp
+++ b/tests/unit/serving/answer_attribution_test.cpp
@@ -84,6 +84,16 @@
         {"with an empty id",
          [](const std::string&, const std::string&) { return Refusal(503, IdField("")); },
          caller_id::kOwn, 200},
+        {"with both ids",
+         [](const std::string& former, const std::string& own) {
+           return Refusal(503, IdField(own) + IdField(former));
+         },
+         caller_id::kOwn, 502},
+        {"with both ids in the other order",
+         [](const std::string& former, const std::string& own) {
+           return Refusal(503, IdField(former) + IdField(own));
+         },
+         caller_id::kOwn, 502},
         {"of a caller with empty ids", kFormerId, caller_id::kEmpty, 200},
         {"without an id, of a caller with empty ids", Without(503), caller_id::kEmpty, 200},
         {"without an id, of a caller without ids", Without(503), caller_id::kNone, 200},
@@ -188,6 +198,11 @@
                after_answer::kClose};
          },
          caller_id::kNone, 502},
+        {"the same id twice",
+         [](const std::string& id) {
+           return scripted_answer{Refusal(503, IdField(id) + IdField(id))};
+         },
+         caller_id::kOwn, 503},
     },
     std::function([](const fresh_case& row) {
       serving_fixture fixture;
