Send a request on no connection that has carried its attempt id before

Callers saw: a caller that used an id twice was told "not run" (503) for the second order, which an upstream had run: a faulty upstream wrote the refusal of the first one again before the answer.

Cause: both have the same id, so the repeated refusal was attributed to the second order.

Fix: a kept connection remembers hashes of the attempt ids that were sent on it. A request with one of them gets another connection. A connection is given up after 512 requests, which bounds the memory at 4 KiB each.

--- a/src/serving/upstream_call.cpp
+++ b/src/serving/upstream_call.cpp
@@ -1,5 +1,7 @@
 #include "serving/upstream_call.h"
 
+#include "base/hash.h"
+
 #include <QTimer>
 
 #include <algorithm>
@@ -7,6 +9,7 @@
 #include <cassert>
 #include <charconv>
 #include <cstdio>
+#include <iterator>
 #include <utility>
 
 namespace corianderhoist {
@@ -18,6 +21,7 @@
 constexpr int kMaxSkippedAnswers = 2;
 // A body that is not needed is read up to this size, so that the connection can be reused.
 constexpr std::size_t kMaxDiscardedBodyBytes = 64UL << 10U;
+constexpr std::size_t kMaxRequestsPerConnection = 512;
 constexpr int kMisdirectedRequestStatus = 421;
 constexpr int kMinSuccessStatus = 200;
 constexpr int kMinRedirectStatus = 300;
@@ -64,33 +68,47 @@
   return found != idle_.end() && IsUsable(found->second.back(), max_idle_time, clock_.Now());
 }
 
-std::unique_ptr<tcp_stream> connection_cache::Take(upstream_handle upstream,
-                                                   milliseconds max_idle_time) {
+kept_connection connection_cache::Take(upstream_handle upstream,
+                                       milliseconds max_idle_time,
+                                       std::string_view attempt_id) {
+  const auto found = idle_.find(upstream);
+  if (found == idle_.end()) {
+    return {};
+  }
+  const steady_time now = clock_.Now();
+  const std::uint64_t id = FastHash(attempt_id);
+  std::vector<idle_connection>& connections = found->second;
   // A connection that has been idle for too long for this request may be usable for another one.
   // `Sweep` closes those whose lifetime has ended.
-  if (!Has(upstream, max_idle_time)) {
-    return nullptr;
-  }
-  const auto found = idle_.find(upstream);
-  std::unique_ptr<tcp_stream> taken = std::move(found->second.back().stream);
-  found->second.pop_back();
-  if (found->second.empty()) {
+  const auto last =
+      std::find_if(connections.rbegin(), connections.rend(), [&](const idle_connection& each) {
+        const auto& sent = each.kept.sent_ids;
+        return IsUsable(each, max_idle_time, now) &&
+               std::find(sent.begin(), sent.end(), id) == sent.end();
+      });
+  if (last == connections.rend()) {
+    return {};
+  }
+  kept_connection taken = std::move(last->kept);
+  connections.erase(std::next(last).base());
+  if (connections.empty()) {
     idle_.erase(found);
   }
   return taken;
 }
 
 void connection_cache::Put(upstream_handle upstream,
-                           std::unique_ptr<tcp_stream> stream,
+                           kept_connection connection,
                            milliseconds lifetime) {
   const steady_time now = clock_.Now();
   const std::uint64_t id = next_id_++;
   // A connection that receives data or is closed while idle cannot be reused.
-  stream->SetEvents({.on_connected = {},
-                     .on_bytes = [this, upstream, id](std::string_view) { Remove(upstream, id); },
-                     .on_end = [this, upstream, id](stream_end) { Remove(upstream, id); },
-                     .on_drained = {}});
-  idle_[upstream].push_back({std::move(stream), now, now + lifetime, id});
+  connection.stream->SetEvents(
+      {.on_connected = {},
+       .on_bytes = [this, upstream, id](std::string_view) { Remove(upstream, id); },
+       .on_end = [this, upstream, id](stream_end) { Remove(upstream, id); },
+       .on_drained = {}});
+  idle_[upstream].push_back({std::move(connection), now, now + lifetime, id});
 }
 
 void connection_cache::Remove(upstream_handle upstream, std::uint64_t id) {
@@ -172,7 +190,9 @@
   // Without an id, an answer to an earlier request on the connection could not be told from the own
   // one.
   if (plan_.max_idle_time.count() > 0 && !plan_.attempt_id.empty()) {
-    stream_ = cache_.Take(plan_.upstream, plan_.max_idle_time);
+    kept_connection kept = cache_.Take(plan_.upstream, plan_.max_idle_time, plan_.attempt_id);
+    stream_ = std::move(kept.stream);
+    sent_ids_ = std::move(kept.sent_ids);
   }
   if (stream_) {
     is_reused_ = true;
@@ -223,6 +243,7 @@
   }
   text += "\r\n";
   is_sent_ = true;
+  sent_ids_.push_back(FastHash(plan_.attempt_id));
   text += std::exchange(unsent_body_, {});
   stream_->Write(text);
   if (events_.on_sent) {
@@ -393,8 +414,8 @@
   if (!stream_) {
     return;
   }
-  if (is_reusable && ReuseLifetime().count() > 0) {
-    cache_.Put(plan_.upstream, std::move(stream_), ReuseLifetime());
+  if (is_reusable && ReuseLifetime().count() > 0 && sent_ids_.size() < kMaxRequestsPerConnection) {
+    cache_.Put(plan_.upstream, {std::move(stream_), std::move(sent_ids_)}, ReuseLifetime());
     return;
   }
   // Destroyed by the event loop, since the stream may be in use further up the call stack.
--- a/src/serving/upstream_call.h
+++ b/src/serving/upstream_call.h
@@ -46,19 +46,28 @@
          result == call_result::kWrongInstance;
 }
 
+/// A connection and the requests that were sent on it.
+struct kept_connection {
+  std::unique_ptr<tcp_stream> stream;
+  std::vector<std::uint64_t> sent_ids;  ///< Hashes of their attempt ids.
+};
+
 /// Pool of idle connections to upstreams. One per event loop.
 class connection_cache {
  public:
   explicit connection_cache(const clock_source& clock) : clock_(clock) {}
 
-  /// Returns an open connection that has been idle for at most `max_idle_time`, or null.
-  std::unique_ptr<tcp_stream> Take(upstream_handle upstream,
-                                   std::chrono::milliseconds max_idle_time);
-  /// Whether `Take` would return one.
+  /// Returns an open connection that has been idle for at most `max_idle_time` and on which no
+  /// request with this attempt id was sent, or one without a stream. A repeated answer to an
+  /// earlier request with the same id could not be told from the answer to the new one.
+  kept_connection Take(upstream_handle upstream,
+                       std::chrono::milliseconds max_idle_time,
+                       std::string_view attempt_id);
+  /// Whether `Take` would return one for a new attempt id.
   bool Has(upstream_handle upstream, std::chrono::milliseconds max_idle_time) const;
   /// Keeps an idle connection for at most `lifetime`.
   void Put(upstream_handle upstream,
-           std::unique_ptr<tcp_stream> stream,
+           kept_connection connection,
            std::chrono::milliseconds lifetime);
   /// Closes connections whose lifetime has ended, and those to upstreams that are gone.
   void Sweep(const std::function<bool(upstream_handle)>& is_known);
@@ -66,7 +75,7 @@
 
  private:
   struct idle_connection {
-    std::unique_ptr<tcp_stream> stream;
+    kept_connection kept;
     steady_time since;
     steady_time until;
     std::uint64_t id = 0;
@@ -155,6 +164,7 @@
   call_plan plan_;
   events events_;
   std::unique_ptr<tcp_stream> stream_;
+  std::vector<std::uint64_t> sent_ids_;  ///< See `kept_connection`.
   std::unique_ptr<answer_reader> reader_;
   std::string incoming_;
   std::string unsent_body_;
--- a/tests/unit/serving/answer_attribution_test.cpp
+++ b/tests/unit/serving/answer_attribution_test.cpp
@@ -94,6 +94,7 @@
            return Refusal(503, IdField(former) + IdField(own));
          },
          caller_id::kOwn, 502},
+        {"of a caller that uses an id twice", kFormerId, caller_id::kShared, 200},
         {"of a caller with empty ids", kFormerId, caller_id::kEmpty, 200},
         {"without an id, of a caller with empty ids", Without(503), caller_id::kEmpty, 200},
         {"without an id, of a caller without ids", Without(503), caller_id::kNone, 200},
