Pass on no status that promises "not run" for an order that may have run

Callers saw: an upstream's own 503, 429 or 408 without X-Not-Executed was passed on for an order. Callers take these for the promise that it has not run and send it again, though the upstream states nothing of the kind.

Cause: every status below 500, and the last one above, was delivered as the upstream gave it.

Fix: for a request that must not run twice such an answer leaves the outcome unknown (502). Reads are not affected.

--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -369,6 +369,7 @@
   plan.connect_timeout =
       std::min(is_far ? kOtherRegionConnectTimeout : kConnectTimeout, UpstreamTimeLeft());
   plan.max_idle_time = MaxIdleTime();
+  plan.may_run_twice = IsIdempotent();
   return plan;
 }
 
--- a/src/serving/upstream_call.cpp
+++ b/src/serving/upstream_call.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t kMaxDiscardedBodyBytes = 64UL << 10U;
 constexpr std::size_t kMaxRequestsPerConnection = 512;
 constexpr int kMisdirectedRequestStatus = 421;
+// Callers take these for the statement that the request was not run.
+constexpr std::array kNotRunStatuses = {408, 429, 503};
 constexpr int kMinSuccessStatus = 200;
 constexpr int kMinRedirectStatus = 300;
 // Upstreams close idle connections. Conservative limit for those that announce no timeout.
@@ -321,6 +323,8 @@
   }
   head_ = head;
   const bool is_only_answer = !is_reused_ && skipped_answers_ == 0;
+  const bool is_not_run_status = std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(),
+                                           head.status) != kNotRunStatuses.end();
   const bool is_success = head.status >= kMinSuccessStatus && head.status < kMinRedirectStatus;
   if (is_ambiguous) {
     result_ = call_result::kBroken;
@@ -335,6 +339,10 @@
   } else if (head.status == kMisdirectedRequestStatus) {
     result_ = call_result::kWrongInstance;
     result_detail_ = "another incarnation has the address";
+  } else if (!plan_.may_run_twice && is_not_run_status) {
+    result_ = call_result::kBroken;
+    result_detail_ =
+        "status " + std::to_string(head.status) + " without the statement that it did not run";
   } else if (is_success && plan_.must_be_signed &&
              FindHeader(head.headers, header_names_.signature) == nullptr) {
     result_ = call_result::kBroken;
--- a/src/serving/upstream_call.h
+++ b/src/serving/upstream_call.h
@@ -102,7 +102,8 @@
   std::optional<std::uint64_t> body_length;  ///< Empty for a chunked body.
   std::chrono::milliseconds connect_timeout{};
   std::chrono::milliseconds max_idle_time{};  ///< Of a reused connection; 0: none is reused.
-  bool must_be_signed = true;                 ///< A success without a signature is invalid.
+  bool may_run_twice = false;
+  bool must_be_signed = true;  ///< A success without a signature is invalid.
 };
 
 /// Must be used on the thread of its event loop.
--- a/tests/unit/serving/answer_attribution_test.cpp
+++ b/tests/unit/serving/answer_attribution_test.cpp
@@ -204,6 +204,23 @@
            return scripted_answer{Refusal(503, IdField(id) + IdField(id))};
          },
          caller_id::kOwn, 503},
+        {"503 without a statement",
+         [](const std::string& id) {
+           return scripted_answer{"HTTP/1.1 503 No\r\n" + IdField(id) +
+                                  "X-Signature: s\r\nContent-Length: 0\r\n\r\n"};
+         },
+         caller_id::kOwn, 502},
+        {"429 without a statement",
+         [](const std::string& id) {
+           return scripted_answer{"HTTP/1.1 429 No\r\n" + IdField(id) +
+                                  "X-Signature: s\r\nContent-Length: 0\r\n\r\n"};
+         },
+         caller_id::kOwn, 502},
+        {"408 without a statement",
+         [](const std::string&) {
+           return scripted_answer{"HTTP/1.1 408 No\r\nContent-Length: 0\r\n\r\n"};
+         },
+         caller_id::kOwn, 502},
     },
     std::function([](const fresh_case& row) {
       serving_fixture fixture;
