--- a/tests/unit/serving/answer_attribution_test.cpp
+++ b/tests/unit/serving/answer_attribution_test.cpp
@@ -3,9 +3,10 @@
 #include "support/serving_fixture.h"
 #include "support/test_table.h"
 
+#include <array>
 #include <map>
+#include <mutex>
 #include <random>
-#include <thread>
 
 namespace corianderhoist {
 namespace {
@@ -236,5 +237,124 @@
                            answer.Header("Corianderhoist-Outcome"));
     }));
 
+/// A schedule in which an upstream writes earlier answers of a connection again at random.
+struct schedule_case {
+  std::string name;
+  std::uint32_t seed;
+};
+
+/// What an upstream with a random schedule has done.
+class repeating_upstream {
+ public:
+  explicit repeating_upstream(std::uint32_t seed) : random_(seed) {}
+
+  scripted_answer Answer(const scripted_request& request) {
+    const std::lock_guard guard(lock_);
+    std::vector<std::string>& former = former_[request.connection];
+    const std::string id = request.Header("X-Attempt-Id");
+    std::string own;
+    if (Draw(3) == 0) {
+      constexpr std::array kStatuses = {503, 429, 400};
+      own = Refusal(kStatuses[Draw(kStatuses.size())], IdField(id));
+    } else {
+      ++runs_[request.body];
+      own = SignedAnswer(request, 200, request.body);
+    }
+    const auto repeated = [&] {
+      std::string text;
+      while (!former.empty() && Draw(3) == 0) {
+        std::string one = former[Draw(former.size())];
+        if (Draw(2) == 0) {
+          const std::size_t at = one.find("X-Attempt-Id: ");
+          one.erase(at, one.find("\r\n", at) + 2 - at);
+        }
+        text += one;
+      }
+      repeats_ += text.empty() ? 0 : 1;
+      return text;
+    };
+    scripted_answer answer;
+    answer.bytes = repeated() + own;
+    switch (Draw(4)) {
+      case 0:  // Behind the answer, or while the connection is idle.
+        answer.late_bytes = repeated();
+        answer.late_by = milliseconds(Draw(3));
+        break;
+      case 1: {  // In two parts.
+        const std::size_t at = Draw(answer.bytes.size());
+        answer.late_bytes = answer.bytes.substr(at);
+        answer.bytes.resize(at);
+        answer.late_by = milliseconds(1);
+        break;
+      }
+      default:
+        break;
+    }
+    former.push_back(own);
+    return answer;
+  }
+
+  int Runs(const std::string& order) const {
+    const std::lock_guard guard(lock_);
+    const auto found = runs_.find(order);
+    return found != runs_.end() ? found->second : 0;
+  }
+  int Repeats() const {
+    const std::lock_guard guard(lock_);
+    return repeats_;
+  }
+
+ private:
+  std::size_t Draw(std::size_t below) { return random_() % below; }
+
+  mutable std::mutex lock_;
+  std::mt19937 random_;
+  std::map<std::size_t, std::vector<std::string>> former_;  ///< Answers, by connection.
+  std::map<std::string, int> runs_;                         ///< By body of the order.
+  int repeats_ = 0;
+};
+
+const test_table kSchedules(
+    "former answers at random",
+    std::vector<schedule_case>{{"seed 1", 1}, {"seed 2", 2}, {"seed 3", 3}, {"seed 4", 4}},
+    std::function([](const schedule_case& row) {
+      constexpr int kOrders = 300;
+      std::array<repeating_upstream, 2> states = {repeating_upstream(row.seed),
+                                                  repeating_upstream(row.seed + 100)};
+      serving_fixture fixture;
+      for (std::size_t i = 0; i < states.size(); ++i) {
+        fixture.Add("u" + std::to_string(i), "orders",
+                    [&state = states[i]](const scripted_request& request) {
+                      return state.Answer(request);
+                    });
+      }
+      fixture.Start();
+      std::mt19937 random(row.seed);
+      int served = 0;
+      std::string id;
+      for (int i = 0; i < kOrders; ++i) {
+        // Some callers use the id of their last request again, some have none.
+        const auto kind = random() % 8;
+        id = kind == 0 && !id.empty() ? id : "id" + std::to_string(i);
+        const std::string body = "order-" + std::to_string(i);
+        const caller_request order{.method = "POST", .path = "/once/1", .id = id, .body = body};
+        test_caller caller(fixture.Port());
+        Send(caller, order, kind == 1 ? caller_id::kNone : caller_id::kOwn);
+        const caller_answer answer = caller.Receive();
+        const int runs = states[0].Runs(body) + states[1].Runs(body);
+        const std::string what = body + ": status " + std::to_string(answer.status) + ", ran " +
+                                 std::to_string(runs) + " times";
+        CPPUNIT_ASSERT_MESSAGE(what, answer.status != 0 && runs <= 1);
+        if (answer.status == 200) {
+          ++served;
+          CPPUNIT_ASSERT_MESSAGE(what, runs == 1 && answer.body == body);
+        } else if (answer.status != 502 && answer.status != 504) {
+          CPPUNIT_ASSERT_MESSAGE(what, runs == 0);
+        }
+      }
+      CPPUNIT_ASSERT(states[0].Repeats() + states[1].Repeats() > kOrders / 20);
+      CPPUNIT_ASSERT_MESSAGE("served " + std::to_string(served), served > kOrders / 3);
+    }));
+
 }  // namespace
 }  // namespace corianderhoist
