--- a/src/upstream/upstream_exchange.cpp
+++ b/src/upstream/upstream_exchange.cpp
@@ -3,6 +3,7 @@
 #include <QHostAddress>
 #include <QNetworkProxy>
 
+#include <algorithm>
 #include <utility>
 
 namespace corianderhoist {
@@ -126,10 +127,13 @@
 }
 
 void upstream_exchange::OnHead(answer_head head) {
-  const std::string* echoed = FindHeader(head.headers, kRequestIdHeader);
-  is_id_echoed_ = echoed && *echoed == request_.request->id;
+  const bool has_other_id =
+      std::any_of(head.headers.begin(), head.headers.end(), [this](const header_field& field) {
+        return IsSameName(field.name, kRequestIdHeader) && field.value != request_.request->id;
+      });
+  is_id_echoed_ = !has_other_id && FindHeader(head.headers, kRequestIdHeader) != nullptr;
   // An upstream that echoes request ids but returns another id has mixed up its answers.
-  if ((echoed && !is_id_echoed_) || (is_reused_ && !is_id_echoed_)) {
+  if (has_other_id || (is_reused_ && !is_id_echoed_)) {
     Finish(attempt_result::kBrokenAnswer, "the answer belongs to another request");
     return;
   }
