Read a kept connection again after an answer for a slow caller

Callers saw: the request after a streamed answer got no answer (504) if the slow caller of that answer had stopped the reading of its last part. Bytes that arrived on the idle connection, and its close, went unnoticed too.

Cause: the connection was kept with reading paused.

Fix: reading is resumed before a connection is kept.

Evidence: serving_test "upstream call::a connection is read again after a slow caller" failed before (no result within 2 s), passes after. The other two tests of the new file cover the ids that a connection has carried.

--- a/src/serving/upstream_call.cpp
+++ b/src/serving/upstream_call.cpp
@@ -423,6 +423,8 @@
     return;
   }
   if (is_reusable && ReuseLifetime().count() > 0 && sent_ids_.size() < kMaxRequestsPerConnection) {
+    // The owner may have paused reading at the last part of the answer.
+    stream_->PauseReading(false);
     cache_.Put(plan_.upstream, {std::move(stream_), std::move(sent_ids_)}, ReuseLifetime());
     return;
   }
