Tests: uploads, HEAD, 304 and second attempts with answers to other requests

"former answers at random" now tells requests apart by their target, so that reads are judged too; its checks for orders are the same.

--- a/tests/unit/serving/answer_attribution_test.cpp
+++ b/tests/unit/serving/answer_attribution_test.cpp
@@ -4,9 +4,11 @@
 #include "support/test_table.h"
 
 #include <array>
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <random>
+#include <thread>
 
 namespace corianderhoist {
 namespace {
@@ -241,12 +243,19 @@
 struct schedule_case {
   std::string name;
   std::uint32_t seed;
+  bool is_idempotent = false;
 };
 
+std::string TargetOf(const scripted_request& request) {
+  const std::size_t begin = request.head.find(' ') + 1;
+  return request.head.substr(begin, request.head.find(' ', begin) - begin);
+}
+
 /// What an upstream with a random schedule has done.
 class repeating_upstream {
  public:
-  explicit repeating_upstream(std::uint32_t seed) : random_(seed) {}
+  repeating_upstream(std::uint32_t seed, bool is_sometimes_slow)
+      : random_(seed), is_sometimes_slow_(is_sometimes_slow) {}
 
   scripted_answer Answer(const scripted_request& request) {
     const std::lock_guard guard(lock_);
@@ -257,8 +266,8 @@
       constexpr std::array kStatuses = {503, 429, 400};
       own = Refusal(kStatuses[Draw(kStatuses.size())], IdField(id));
     } else {
-      ++runs_[request.body];
-      own = SignedAnswer(request, 200, request.body);
+      ++runs_[TargetOf(request)];
+      own = SignedAnswer(request, 200, TargetOf(request));
     }
     const auto repeated = [&] {
       std::string text;
@@ -275,6 +284,8 @@
     };
     scripted_answer answer;
     answer.bytes = repeated() + own;
+    // Later than a second attempt starts.
+    answer.delay = milliseconds(is_sometimes_slow_ && Draw(30) == 0 ? 400 : 0);
     switch (Draw(4)) {
       case 0:  // Behind the answer, or while the connection is idle.
         answer.late_bytes = repeated();
@@ -294,9 +305,9 @@
     return answer;
   }
 
-  int Runs(const std::string& order) const {
+  int Runs(const std::string& target) const {
     const std::lock_guard guard(lock_);
-    const auto found = runs_.find(order);
+    const auto found = runs_.find(target);
     return found != runs_.end() ? found->second : 0;
   }
   int Repeats() const {
@@ -309,21 +320,28 @@
 
   mutable std::mutex lock_;
   std::mt19937 random_;
+  const bool is_sometimes_slow_;
   std::map<std::size_t, std::vector<std::string>> former_;  ///< Answers, by connection.
-  std::map<std::string, int> runs_;                         ///< By body of the order.
+  std::map<std::string, int> runs_;                         ///< By target.
   int repeats_ = 0;
 };
 
 const test_table kSchedules(
     "former answers at random",
-    std::vector<schedule_case>{{"seed 1", 1}, {"seed 2", 2}, {"seed 3", 3}, {"seed 4", 4}},
+    std::vector<schedule_case>{{"seed 1", 1},
+                               {"seed 2", 2},
+                               {"seed 3", 3},
+                               {"seed 4", 4},
+                               {"reads with second attempts, seed 5", 5, true},
+                               {"reads with second attempts, seed 6", 6, true}},
     std::function([](const schedule_case& row) {
-      constexpr int kOrders = 300;
-      std::array<repeating_upstream, 2> states = {repeating_upstream(row.seed),
-                                                  repeating_upstream(row.seed + 100)};
+      constexpr int kRequests = 300;
+      std::array<repeating_upstream, 2> states = {
+          repeating_upstream(row.seed, row.is_idempotent),
+          repeating_upstream(row.seed + 100, row.is_idempotent)};
       serving_fixture fixture;
       for (std::size_t i = 0; i < states.size(); ++i) {
-        fixture.Add("u" + std::to_string(i), "orders",
+        fixture.Add("u" + std::to_string(i), row.is_idempotent ? "reads" : "orders",
                     [&state = states[i]](const scripted_request& request) {
                       return state.Answer(request);
                     });
@@ -332,28 +350,158 @@
       std::mt19937 random(row.seed);
       int served = 0;
       std::string id;
-      for (int i = 0; i < kOrders; ++i) {
+      for (int i = 0; i < kRequests; ++i) {
         // Some callers use the id of their last request again, some have none.
         const auto kind = random() % 8;
         id = kind == 0 && !id.empty() ? id : "id" + std::to_string(i);
-        const std::string body = "order-" + std::to_string(i);
-        const caller_request order{.method = "POST", .path = "/once/1", .id = id, .body = body};
+        const std::string target = (row.is_idempotent ? "/safe/" : "/once/") + std::to_string(i);
+        const caller_request request{
+            .method = row.is_idempotent ? "GET" : "POST", .path = target, .id = id};
         test_caller caller(fixture.Port());
-        Send(caller, order, kind == 1 ? caller_id::kNone : caller_id::kOwn);
+        Send(caller, request, kind == 1 ? caller_id::kNone : caller_id::kOwn);
         const caller_answer answer = caller.Receive();
-        const int runs = states[0].Runs(body) + states[1].Runs(body);
-        const std::string what = body + ": status " + std::to_string(answer.status) + ", ran " +
+        const int runs = states[0].Runs(target) + states[1].Runs(target);
+        const std::string what = target + ": status " + std::to_string(answer.status) + ", ran " +
                                  std::to_string(runs) + " times";
-        CPPUNIT_ASSERT_MESSAGE(what, answer.status != 0 && runs <= 1);
+        CPPUNIT_ASSERT_MESSAGE(what, answer.status != 0);
+        CPPUNIT_ASSERT_MESSAGE(what, row.is_idempotent || runs <= 1);
         if (answer.status == 200) {
           ++served;
-          CPPUNIT_ASSERT_MESSAGE(what, runs == 1 && answer.body == body);
+          CPPUNIT_ASSERT_MESSAGE(what, runs >= 1 && answer.body == target);
         } else if (answer.status != 502 && answer.status != 504) {
-          CPPUNIT_ASSERT_MESSAGE(what, runs == 0);
+          CPPUNIT_ASSERT_MESSAGE(what, row.is_idempotent || runs == 0);
+        }
+      }
+      CPPUNIT_ASSERT(states[0].Repeats() + states[1].Repeats() > kRequests / 20);
+      CPPUNIT_ASSERT_MESSAGE("served " + std::to_string(served), served > kRequests / 3);
+    }));
+
+/// Bytes that arrive while the body of a long upload is being sent.
+struct upload_case {
+  std::string name;
+  former_answer early;
+  int status;
+};
+
+const test_table kUploads(
+    "upload",
+    std::vector<upload_case>{
+        {"meets a former refusal without an id", Without(503), 502},
+        {"meets a former 421 without an id", Without(421), 502},
+        {"meets a former refusal with its id", kFormerId, 200},
+        {"is refused before its body is sent",
+         [](const std::string&, const std::string& own) { return Refusal(503, IdField(own)); },
+         503},
+    },
+    std::function([](const upload_case& row) {
+      serving_fixture fixture;
+      std::atomic<int> runs = 0;
+      scripted_upstream& upstream =
+          fixture.Add("u1", "orders", [&](const scripted_request& request) {
+            const std::string id = request.Header("X-Attempt-Id");
+            if (TargetOf(request) == "/once/refused") {
+              return scripted_answer{Refusal(503, IdField(id))};
+            }
+            runs += row.status == 503 ? 0 : 1;
+            return scripted_answer{row.status == 503 ? "" : SignedAnswer(request, 200, "ran")};
+          });
+      upstream.SetEarlyBytes([&](const scripted_request& request) {
+        return TargetOf(request) == "/once/upload"
+                   ? row.early("id0", request.Header("X-Attempt-Id"))
+                   : std::string();
+      });
+      fixture.Start();
+      caller_request order{.method = "POST", .path = "/once/refused", .id = "id0", .body = "b"};
+      CPPUNIT_ASSERT_EQUAL(503, fixture.Call(order).status);
+      order = {.method = "POST",
+               .path = "/once/upload",
+               .id = "id1",
+               .body = std::string(2'000'000, 'b')};
+      test_caller caller(fixture.Port());
+      const std::string bytes = order.Bytes();
+      // The head is sent to the upstream once a part of the body has arrived.
+      caller.Send(bytes.substr(0, 100'000));
+      std::this_thread::sleep_for(milliseconds(50));
+      std::thread sender([&] { caller.Send(bytes.substr(100'000)); });
+      const caller_answer answer = caller.Receive();
+      sender.join();
+      CPPUNIT_ASSERT_EQUAL(row.status, answer.status);
+      if (row.status != 200) {
+        CPPUNIT_ASSERT_EQUAL(std::string(row.status == 502 ? "unknown" : "not_run"),
+                             answer.Header("Corianderhoist-Outcome"));
+      }
+      CPPUNIT_ASSERT(row.status != 200 || runs == 1);
+    }));
+
+/// Bytes behind a complete answer, which look like a refusal of the next order.
+struct trailing_case {
+  std::string name;
+  std::string method;
+  int status;
+  milliseconds late_by;  ///< 0: in the same segment as the answer.
+  milliseconds pause;    ///< Before the next order.
+};
+
+const test_table kTrailingRefusals(
+    "refusal behind an answer",
+    std::vector<trailing_case>{
+        {"to a POST", "POST", 200, milliseconds(0), milliseconds(0)},
+        {"to a POST, late", "POST", 200, milliseconds(2), milliseconds(0)},
+        {"to a POST, while idle", "POST", 200, milliseconds(2), milliseconds(50)},
+        {"to a HEAD", "HEAD", 200, milliseconds(0), milliseconds(0)},
+        {"to a HEAD, late", "HEAD", 200, milliseconds(2), milliseconds(0)},
+        {"to a HEAD, while idle", "HEAD", 200, milliseconds(2), milliseconds(50)},
+        {"with status 304", "GET", 304, milliseconds(0), milliseconds(0)},
+        {"with status 304, late", "GET", 304, milliseconds(2), milliseconds(0)},
+        {"with status 204, late", "GET", 204, milliseconds(2), milliseconds(0)},
+    },
+    std::function([](const trailing_case& row) {
+      serving_fixture fixture;
+      std::mutex lock;
+      std::map<std::string, int> runs;
+      fixture.Add("u1", "orders", [&](const scripted_request& request) {
+        const std::lock_guard guard(lock);
+        ++runs[TargetOf(request)];
+        scripted_answer answer;
+        if (!TargetOf(request).ends_with("first")) {
+          answer.bytes = SignedAnswer(request, 200, "ran");
+          return answer;
+        }
+        const std::string trailing = Refusal(503, {});
+        // To a HEAD, and with 304, the length of a body that is not sent.
+        answer.bytes =
+            "HTTP/1.1 " + std::to_string(row.status) + " S\r\n" +
+            IdField(request.Header("X-Attempt-Id")) + "X-Signature: s\r\n" +
+            (row.status == 204
+                 ? ""
+                 : "Content-Length: " + std::to_string(row.method == "POST" ? 0 : trailing.size()) +
+                       "\r\n") +
+            "\r\n";
+        (row.late_by.count() > 0 ? answer.late_bytes : answer.bytes) += trailing;
+        answer.late_by = row.late_by;
+        return answer;
+      });
+      fixture.Start();
+      for (int i = 0; i < 20; ++i) {
+        const std::string path = "/once/" + std::to_string(i);
+        test_caller caller(fixture.Port());
+        caller.Send(caller_request{
+            .method = row.method, .path = path + "first", .id = "a" + std::to_string(i)}
+                        .Bytes());
+        if (row.method == "HEAD") {
+          std::this_thread::sleep_for(milliseconds(5));
+        } else {
+          CPPUNIT_ASSERT_EQUAL(row.status, caller.Receive().status);
         }
+        std::this_thread::sleep_for(row.pause);
+        const caller_answer answer =
+            fixture.Call({.method = "POST", .path = path, .id = "b" + std::to_string(i)});
+        const std::lock_guard guard(lock);
+        CPPUNIT_ASSERT_MESSAGE("status " + std::to_string(answer.status),
+                               answer.status == 200 || answer.status == 502);
+        CPPUNIT_ASSERT(answer.status == 502 || answer.body == "ran");
+        CPPUNIT_ASSERT(runs[path] <= 1);
       }
-      CPPUNIT_ASSERT(states[0].Repeats() + states[1].Repeats() > kOrders / 20);
-      CPPUNIT_ASSERT_MESSAGE("served " + std::to_string(served), served > kOrders / 3);
     }));
 
 }  // namespace
