--- a/src/serving/drain_schedule.cpp
+++ b/src/http/drain_schedule.cpp
@@ -1,4 +1,4 @@
-#include "serving/drain_schedule.h"
+#include "http/drain_schedule.h"
 
 #include <algorithm>
 
--- a/src/serving/request_flow.h
+++ b/src/serving/request_flow.h
@@ -4,11 +4,11 @@
 
 #include "base/clock.h"
 #include "http/answer_sink.h"
+#include "http/answer_time.h"
+#include "http/drain_schedule.h"
 #include "http/front_connection.h"
 #include "http/message.h"
 #include "serving/admission.h"
-#include "serving/answer_time.h"
-#include "serving/drain_schedule.h"
 #include "serving/fleet_link.h"
 #include "serving/fleet_view.h"
 #include "serving/repeat_budget.h"
--- a/tests/unit/serving/stop_test.cpp
+++ b/tests/unit/serving/stop_test.cpp
@@ -1,6 +1,6 @@
 // Graceful shutdown of an entry VM under a load that goes on until its process is gone.
-#include "serving/answer_time.h"
-#include "serving/drain_schedule.h"
+#include "http/answer_time.h"
+#include "http/drain_schedule.h"
 #include "support/serving_fixture.h"
 #include "support/test_table.h"
 
