Refuse requests that cannot be finished before an entry VM ends

Callers saw: requests that an entry VM took late in its shutdown were sent to an upstream and ended at drain_deadline with the outcome unknown (502), orders among them.

Cause: a drain had an end but no last moment for new work, and upstreams were handed the time limit of the caller, which may end after the process. drain_schedule and answer_time, which fixed this in the entry VM of the platform, were not used here.

Fix: each worker has a drain_schedule and the answer times of its routes. A request that is not expected to be answered in time is refused as not run when it arrives, while it waits for a slot, and again before it is sent. Requests that start during the drain end, and upstreams are handed the time, before the process ends.

--- a/src/entry/entry_context.h
+++ b/src/entry/entry_context.h
@@ -6,6 +6,8 @@
 #include "entry/entry_settings.h"
 #include "entry/lease_registry.h"
 #include "entry/retry_budget.h"
+#include "http/answer_time.h"
+#include "http/drain_schedule.h"
 #include "routing/router.h"
 #include "upstream/upstream_connection_pool.h"
 #include "wire/io_loop.h"
@@ -16,6 +18,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace corianderhoist {
 
@@ -39,7 +42,10 @@
 /// State of one thread. Created, used and destroyed on the thread of its loop.
 struct entry_worker {
   entry_worker(io_loop& own_loop, entry_context& shared)
-      : loop(own_loop), context(shared), pool(shared.idle_connections, shared.clock) {
+      : loop(own_loop),
+        context(shared),
+        drain({shared.settings.drain_delay, shared.settings.drain_deadline}),
+        pool(shared.idle_connections, shared.clock) {
     for (const coordinator_group& group : shared.settings.coordinators) {
       coordinators.emplace(group.region, std::make_unique<coordinator_client>(
                                              own_loop, shared.identity, group, shared.clock));
@@ -52,8 +58,19 @@
     return found == coordinators.end() ? nullptr : found->second.get();
   }
 
+  /// Returns a copy, because a request may end while the others are visited.
+  std::vector<std::shared_ptr<proxied_request>> ActiveRequests() const {
+    std::vector<std::shared_ptr<proxied_request>> requests;
+    for (const auto& [key, request] : active_requests) {
+      requests.push_back(request);
+    }
+    return requests;
+  }
+
   io_loop& loop;
   entry_context& context;
+  drain_schedule drain;
+  std::map<std::string, answer_time> answer_times;  ///< By route id.
   upstream_connection_pool pool;
   std::map<std::string, std::unique_ptr<coordinator_client>> coordinators;
   std::unordered_map<proxied_request*, std::shared_ptr<proxied_request>> active_requests;
--- a/src/entry/entry_vm.cpp
+++ b/src/entry/entry_vm.cpp
@@ -69,6 +69,13 @@
   result<void> OpenPorts();
   void StartControlLoop();
   void AddStateSections();
+  /// Calls `task(worker)` on the thread of each worker.
+  template <class Task>
+  void ForEachWorker(Task task) {
+    for (const auto& thread : threads) {
+      thread->loop.RunAndWait([&] { task(*thread->worker); });
+    }
+  }
   void BeginDrain();
   void PollDrain();
   void StopActiveRequests();
@@ -233,6 +240,7 @@
   drain_started_at = context.clock.Now();
   log_event(log_level::kInfo, "drain_started")
       .Field("running_requests", std::uint64_t(context.active_request_count));
+  ForEachWorker([this](entry_worker& worker) { worker.drain.Begin(drain_started_at); });
   callers->AnnounceClose();
   drain_timer = std::make_unique<QTimer>();
   QObject::connect(drain_timer.get(), &QTimer::timeout, drain_timer.get(), [this] { PollDrain(); });
@@ -245,6 +253,11 @@
     StopActiveRequests();
     return;
   }
+  ForEachWorker([](entry_worker& worker) {
+    for (const auto& request : worker.ActiveRequests()) {
+      request->OnDrainProgress();
+    }
+  });
   if (elapsed < context.settings.drain_delay) {
     return;
   }
@@ -258,17 +271,11 @@
 void entry_vm::state::StopActiveRequests() {
   log_event(log_level::kWarning, "drain_cut_short")
       .Field("running_requests", std::uint64_t(context.active_request_count));
-  for (const auto& thread : threads) {
-    thread->loop.RunAndWait([&thread] {
-      std::vector<std::shared_ptr<proxied_request>> active_requests;
-      for (const auto& [key, request] : thread->worker->active_requests) {
-        active_requests.push_back(request);
-      }
-      for (const auto& request : active_requests) {
-        request->Stop();
-      }
-    });
-  }
+  ForEachWorker([](entry_worker& worker) {
+    for (const auto& request : worker.ActiveRequests()) {
+      request->Stop();
+    }
+  });
   FinishShutdown(exit_code::kDrainDeadline);
 }
 
--- a/src/entry/proxied_request.cpp
+++ b/src/entry/proxied_request.cpp
@@ -17,6 +17,7 @@
 constexpr milliseconds kMaxDecisionAge(2000);
 // Delay before the next acquire call when this VM's configuration is too old for the coordinator.
 constexpr milliseconds kConfigRetryDelay(30);
+constexpr const char* kTooLateDetail = "the proxy stops before the request could be answered";
 
 // Returns whether a coordinator's error is passed on to callers under its own kind.
 bool IsReportedToCallers(error_kind kind) {
@@ -49,10 +50,15 @@
       exchange_->Resume();
     }
   };
-  if (TryPrepare()) {
-    StartDeadlineTimer();
-    Acquire(routed_.home_region, {});
+  if (!TryPrepare()) {
+    return;
+  }
+  if (!MayStart()) {
+    Refuse(error_kind::kShuttingDown, kTooLateDetail);
+    return;
   }
+  StartDeadlineTimer();
+  Acquire(routed_.home_region, {});
 }
 
 bool proxied_request::TryPrepare() {
@@ -78,7 +84,8 @@
   }
   BOOST_LEAF_AUTO(caller_timeout, ParseCallerTimeout(request_.headers));
   const milliseconds timeout = routed_.route->timeout;
-  deadline_ = started_at_ + (caller_timeout ? std::min(*caller_timeout, timeout) : timeout);
+  deadline_ = worker_.drain.AnswerDeadline(
+      started_at_ + (caller_timeout ? std::min(*caller_timeout, timeout) : timeout));
   BOOST_LEAF_ASSIGN(upstream_headers_, HeadersForUpstream(request_, key));
   fingerprint_ = FingerprintOf(routed_.workspace, request_);
   body_digest_ = BodyDigestOf(request_);
@@ -98,6 +105,22 @@
   return duration_cast<milliseconds>(deadline_ - context_.clock.Now());
 }
 
+bool proxied_request::MayStart() const {
+  if (!worker_.drain.HasBegun()) {
+    return true;
+  }
+  const milliseconds unknown = routed_.route->timeout;
+  const auto known = worker_.answer_times.find(routed_.route->Id());
+  const milliseconds expected =
+      known == worker_.answer_times.end() ? unknown : known->second.NearlyAll(unknown);
+  return worker_.drain.MayStart(context_.clock.Now(), deadline_, expected);
+}
+
+void proxied_request::NoteAnswerTime() {
+  worker_.answer_times[routed_.route->Id()].Add(
+      duration_cast<microseconds>(context_.clock.Now() - started_at_));
+}
+
 std::string proxied_request::AttemptId() const {
   return request_.id + "/" + std::to_string(acquire_number_);
 }
@@ -170,6 +193,9 @@
     OnOutdatedDecision();
   } else if (grant_.lease.empty()) {
     Acquire(grant_.next_region, grant_.admission);
+  } else if (!MayStart()) {
+    Complete(attempt_result::kNotSent, false);
+    Refuse(error_kind::kShuttingDown, kTooLateDetail);
   } else {
     StartAttempt();
   }
@@ -257,6 +283,9 @@
     return;
   }
   const bool is_sent = exchange_->IsSent();
+  if (is_sent) {
+    NoteAnswerTime();
+  }
   exchange_->Cancel();
   Complete(is_sent ? attempt_result::kTimeout : attempt_result::kConnectFailed, is_sent);
   if (answer_) {
@@ -269,6 +298,13 @@
   }
 }
 
+void proxied_request::OnDrainProgress() {
+  const bool is_sent = exchange_ && exchange_->IsSent();
+  if (!has_ended_ && !is_sent && !MayStart()) {
+    Stop();
+  }
+}
+
 void proxied_request::Stop() {
   if (has_ended_) {
     return;
--- a/src/entry/proxied_request.h
+++ b/src/entry/proxied_request.h
@@ -28,6 +28,9 @@
   proxied_request& operator=(const proxied_request&) = delete;
 
   void Start();
+  /// Refuses the request if it is not sent yet and can no longer be finished before the process
+  /// ends. Called repeatedly during a drain.
+  void OnDrainProgress();
   /// Ends the request because the process stops. The refusal says whether the request may have run.
   void Stop();
 
@@ -86,6 +89,9 @@
   bool HasIdempotencyKey() const { return !idempotency_key_.empty(); }
   std::string AttemptId() const;
   std::chrono::milliseconds Remaining() const;
+  /// Whether the request may be sent to an upstream, during a drain too.
+  bool MayStart() const;
+  void NoteAnswerTime();
 
   entry_worker& worker_;
   entry_context& context_;
--- a/src/entry/proxied_request_attempt.cpp
+++ b/src/entry/proxied_request_attempt.cpp
@@ -74,8 +74,10 @@
   outgoing.request = &request_;
   outgoing.headers = upstream_headers_;
   outgoing.headers.push_back({"Corianderhoist-Request-Id", request_.id});
+  const auto upstream_time =
+      duration_cast<milliseconds>(worker_.drain.UpstreamDeadline(deadline_) - context_.clock.Now());
   outgoing.headers.push_back({"Corianderhoist-Deadline-Ms",
-                              std::to_string(std::max(Remaining(), milliseconds(1)).count())});
+                              std::to_string(std::max(upstream_time, milliseconds(1)).count())});
   if (!routed_.workspace.empty()) {
     outgoing.headers.push_back({"Corianderhoist-Workspace", routed_.workspace});
   }
@@ -183,6 +185,7 @@
   }
   static latency_metric& exchange = metrics::Instance().Latency("requests.exchange");
   exchange.Add(duration_cast<microseconds>(context_.clock.Now() - attempt_started_at_));
+  NoteAnswerTime();
   Complete(end.result, false);
   static counter& answered = metrics::Instance().Counter("requests.answered");
   answered.Add();
