Close the callers' port without losing connections that are established

Callers saw: requests on new connections reset or closed without an answer, at the moment when a draining entry VM closed its port.

Cause: closing a listening socket resets the connections in its queue, and CloseIfIdle took a connection for idle whose first request was not read yet.

Fix: the acceptor stops new handshakes with a socket filter, passes on all connections in the queue, and then closes. A connection is idle only if the kernel holds no bytes of it either and nothing happened on it for 250 ms, as in front_connection. A connection whose handshake is still in transit at that moment is still reset.

Evidence: rows of tests/process/drain_end_test.cpp.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -21,6 +21,8 @@
 constexpr milliseconds kIdleTimeout(75'000);
 constexpr milliseconds kLingerTimeout(1000);
 constexpr milliseconds kSendStallTimeout(30'000);
+// Several round trips between a caller and its nearest VM.
+constexpr milliseconds kRequestTransitTime(250);
 constexpr std::size_t kMaxLingerBytes = 4UL << 20U;
 constexpr qint64 kReadBufferBytes = 64LL << 10;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -162,12 +164,16 @@
 }
 
 bool caller_connection::IsIdle() const {
-  return phase_ == phase::kIdle && incoming_.empty() &&
-         (!socket_ || socket_->bytesAvailable() == 0);
+  if (phase_ != phase::kIdle || !incoming_.empty() || !socket_ || socket_->bytesAvailable() > 0) {
+    return false;
+  }
+  char byte = 0;
+  const auto descriptor = static_cast<int>(socket_->socketDescriptor());
+  return ::recv(descriptor, &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0;
 }
 
-void caller_connection::CloseIfIdle() {
-  if (IsIdle() && socket_) {
+void caller_connection::CloseIfIdle(steady_time now) {
+  if (IsIdle() && now >= phase_started_ + kRequestTransitTime) {
     Linger();
   }
 }
@@ -361,7 +367,8 @@
 
 void caller_connection::EnterPhase(phase next, milliseconds timeout) {
   phase_ = next;
-  phase_deadline_ = context_.clock.Now() + timeout;
+  phase_started_ = context_.clock.Now();
+  phase_deadline_ = phase_started_ + timeout;
 }
 
 }  // namespace corianderhoist
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -54,16 +54,17 @@
   void Start(qintptr descriptor, bool is_over_limit);
   /// Refuses the request or resets the connection when its current phase has timed out.
   void CheckTimeouts(steady_time now);
-  /// Closes the connection unless a request has been started or is being answered.
-  void CloseIfIdle();
+  /// Closes the connection unless a request has been started, is being answered, or may be in
+  /// transit on a connection that was in use shortly before.
+  void CloseIfIdle(steady_time now);
   /// Resets the connection.
   void Abort();
-  bool IsIdle() const;
 
  private:
   class sink;
   enum class phase { kIdle, kHead, kBody, kAnswering, kLingering, kEnded };
 
+  bool IsIdle() const;
   void OnReadable();
   void ReadRequest();
   void Dispatch();
@@ -85,6 +86,7 @@
   std::string incoming_;
   std::string request_id_;
   phase phase_ = phase::kIdle;
+  steady_time phase_started_;
   steady_time phase_deadline_;
   steady_time last_progress_;
   std::size_t lingered_bytes_ = 0;
--- a/src/http/caller_server.cpp
+++ b/src/http/caller_server.cpp
@@ -113,9 +113,10 @@
 
 void caller_server::StopAccepting() {
   state_->acceptor.Close();
+  const steady_time now = state_->context.clock.Now();
   for (const auto& each : state_->workers) {
     each->loop->RunAndWait(
-        [&each] { each->ForEach([](caller_connection& c) { c.CloseIfIdle(); }); });
+        [&] { each->ForEach([now](caller_connection& c) { c.CloseIfIdle(now); }); });
   }
 }
 
--- a/src/http/caller_server.h
+++ b/src/http/caller_server.h
@@ -31,7 +31,7 @@
   result<std::uint16_t> Listen(const endpoint& address);
   /// Adds `Connection: close` to all further answers.
   void AnnounceClose();
-  /// Closes the port and all idle connections.
+  /// Closes the port and all idle connections. Call it again for connections that become idle.
   void StopAccepting();
   /// Resets all connections.
   void AbortAll();
--- a/src/wire/tcp_acceptor.cpp
+++ b/src/wire/tcp_acceptor.cpp
@@ -3,13 +3,31 @@
 #include <QHostAddress>
 #include <QTcpServer>
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
+#include <array>
 #include <cassert>
+#include <cstdint>
 #include <string>
 
 namespace corianderhoist {
 namespace {
 
 constexpr int kListenBacklog = 1024;
+constexpr std::uint32_t kTcpFlagsOffset = 13;
+constexpr std::uint32_t kSynFlag = 0x02;
+
+// Closing a listening socket resets the connections in its queue. Without new handshakes the queue
+// can be emptied first; a caller whose SYN is dropped sends it again and is refused.
+void DropNewHandshakes(int listening) {
+  std::array<sock_filter, 4> code = {{BPF_STMT(BPF_LD | BPF_B | BPF_ABS, kTcpFlagsOffset),
+                                      BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, kSynFlag, 0, 1),
+                                      BPF_STMT(BPF_RET | BPF_K, 0),
+                                      BPF_STMT(BPF_RET | BPF_K, 0xFFFFFFFF)}};
+  const sock_fprog filter{code.size(), code.data()};
+  ::setsockopt(listening, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter));
+}
 
 }  // namespace
 
@@ -53,7 +71,13 @@
 }
 
 void tcp_acceptor::Close() {
-  loop_.RunAndWait([this] { listener_.reset(); });
+  loop_.RunAndWait([this] {
+    if (listener_ && listener_->isListening()) {
+      DropNewHandshakes(static_cast<int>(listener_->socketDescriptor()));
+      listener_->waitForNewConnection(0);  // Passes on all connections in the queue.
+    }
+    listener_.reset();
+  });
 }
 
 }  // namespace corianderhoist
--- a/src/wire/tcp_acceptor.h
+++ b/src/wire/tcp_acceptor.h
@@ -23,7 +23,7 @@
 
   /// Opens the port and returns it. Fails with `kUnreachable`.
   result<std::uint16_t> Listen(const endpoint& address);
-  /// Closes the port. Accepted connections stay open.
+  /// Closes the port. Established connections, also those not accepted yet, are passed on first.
   void Close();
   bool IsListening() const { return listener_ != nullptr; }
 
--- a/tests/process/drain_end_test.cpp
+++ b/tests/process/drain_end_test.cpp
@@ -118,6 +118,8 @@
                        std::vector<load_case>{
                            {"on new connections, short work", "300ms", 20, false},
                            {"on new connections, long work", "300ms", 600, false},
+                           {"on new connections, accepted until shortly before the end", "1900ms",
+                            20, false},
                            {"on new connections, long work, accepted until shortly before the end",
                             "1900ms", 600, false},
                            {"on kept connections, short work", "1900ms", 20, true},
