Refuse uploads that are unfinished when an entry VM ends

Callers saw: a connection closed without an answer if the head or body of their request was still arriving at drain_deadline or at a second signal. A request whose reading ended while the sessions were being closed could be started and cut.

Cause: the end of the drain handled requests that were read completely, and nothing else.

Fix: at the end no request may start (drain_schedule::End), incomplete ones are refused as not run, and the process waits up to one second until the callers and upstreams whose connections it closes have taken their answers. The same holds for announcements.

--- a/src/entry/entry_vm.cpp
+++ b/src/entry/entry_vm.cpp
@@ -27,6 +27,8 @@
 constexpr std::size_t kSessionIdBytes = 8;
 constexpr milliseconds kPoolSweepInterval(500);
 constexpr milliseconds kDrainPollInterval(50);
+// A caller closes its connection within this time after its last answer.
+constexpr milliseconds kConnectionCloseTime(1000);
 
 caller_limits AnnouncementLimits(caller_limits limits) {
   limits.request.body_bytes = kMaxAnnouncementBodyBytes;
@@ -80,6 +82,7 @@
   void PollDrain();
   void StopActiveRequests();
   void FinishShutdown(exit_code code);
+  void CloseConnections(exit_code code);
   bool IsDrained() const {
     return context.active_request_count == 0 && context.pending_completes == 0 &&
            callers->ConnectionCount() == 0;
@@ -96,11 +99,14 @@
   std::unique_ptr<caller_server> announcements;
   std::unique_ptr<status_server> status;
   std::unique_ptr<QTimer> drain_timer;
+  std::unique_ptr<QTimer> close_timer;
   steady_time drain_started_at;
   std::uint16_t callers_port = 0;
   std::uint16_t announcements_port = 0;
   std::atomic<bool> is_draining = false;
+  std::atomic<bool> are_sessions_ended = false;
   bool is_finishing_shutdown = false;
+  steady_time connections_close_by;
 };
 
 entry_vm::entry_vm(entry_settings settings, std::function<void(exit_code)> on_stopped)
@@ -108,6 +114,7 @@
 
 entry_vm::~entry_vm() {
   state_->drain_timer.reset();
+  state_->close_timer.reset();
   state_->status.reset();
   state_->announcements.reset();
   state_->callers.reset();
@@ -271,7 +278,8 @@
 void entry_vm::state::StopActiveRequests() {
   log_event(log_level::kWarning, "drain_cut_short")
       .Field("running_requests", std::uint64_t(context.active_request_count));
-  ForEachWorker([](entry_worker& worker) {
+  ForEachWorker([this](entry_worker& worker) {
+    worker.drain.End(context.clock.Now());
     for (const auto& request : worker.ActiveRequests()) {
       request->Stop();
     }
@@ -283,14 +291,30 @@
   if (std::exchange(is_finishing_shutdown, true)) {
     return;
   }
-  if (drain_timer) {
-    drain_timer->stop();
+  connections_close_by = context.clock.Now() + kConnectionCloseTime;
+  drain_timer->stop();
+  close_timer = std::make_unique<QTimer>();
+  QObject::connect(close_timer.get(), &QTimer::timeout, close_timer.get(),
+                   [this, code] { CloseConnections(code); });
+  control_loop->Post([this] { sessions->EndSessions([this] { are_sessions_ended = true; }); });
+  close_timer->start(kDrainPollInterval);
+}
+
+// Requests that arrive meanwhile are refused. Ends the shutdown when all answers are delivered.
+void entry_vm::state::CloseConnections(exit_code code) {
+  for (const auto& server : {callers.get(), announcements.get()}) {
+    server->AnnounceClose();
+    server->StopAccepting();
+    server->RefuseIncomplete({error_kind::kShuttingDown, "the proxy stops"});
   }
-  const auto finish = [this, code] {
-    log_event(log_level::kInfo, "stopped").Field("exit_code", static_cast<int>(code));
+  const std::size_t open = callers->ConnectionCount() + announcements->ConnectionCount();
+  if (are_sessions_ended && (open == 0 || context.clock.Now() >= connections_close_by)) {
+    close_timer->stop();
+    log_event(log_level::kInfo, "stopped")
+        .Field("exit_code", static_cast<int>(code))
+        .Field("connections", std::uint64_t(open));
     on_stopped(code);
-  };
-  control_loop->Post([this, finish] { sessions->EndSessions(finish); });
+  }
 }
 
 }  // namespace corianderhoist
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -178,6 +178,12 @@
   }
 }
 
+void caller_connection::RefuseIncomplete(const error& failure) {
+  if (phase_ == phase::kHead || phase_ == phase::kBody) {
+    Refuse(failure);
+  }
+}
+
 void caller_connection::CheckTimeouts(steady_time now) {
   if (phase_ == phase::kAnswering) {
     // A caller that does not read its answer must not occupy a slot of the upstream.
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -57,6 +57,8 @@
   /// Closes the connection unless a request has been started, is being answered, or may be in
   /// transit on a connection that was in use shortly before.
   void CloseIfIdle(steady_time now);
+  /// Refuses a request that has not been read completely.
+  void RefuseIncomplete(const error& failure);
   /// Resets the connection.
   void Abort();
 
--- a/src/http/caller_server.cpp
+++ b/src/http/caller_server.cpp
@@ -120,6 +120,14 @@
   }
 }
 
+void caller_server::RefuseIncomplete(const error& failure) {
+  for (const auto& each : state_->workers) {
+    each->loop->RunAndWait([&] {
+      each->ForEach([&](caller_connection& connection) { connection.RefuseIncomplete(failure); });
+    });
+  }
+}
+
 void caller_server::AbortAll() {
   for (const auto& each : state_->workers) {
     each->loop->RunAndWait([&each] { each->ForEach([](caller_connection& c) { c.Abort(); }); });
--- a/src/http/caller_server.h
+++ b/src/http/caller_server.h
@@ -33,6 +33,8 @@
   void AnnounceClose();
   /// Closes the port and all idle connections. Call it again for connections that become idle.
   void StopAccepting();
+  /// Refuses all requests that have not been read completely.
+  void RefuseIncomplete(const error& failure);
   /// Resets all connections.
   void AbortAll();
   std::size_t ConnectionCount() const;
--- a/src/http/drain_schedule.cpp
+++ b/src/http/drain_schedule.cpp
@@ -33,8 +33,7 @@
 }
 
 steady_time drain_schedule::AnswerDeadline(steady_time deadline) const {
-  return started_ ? std::min(deadline, *started_ + settings_.deadline - kAnswerDeliveryTime)
-                  : deadline;
+  return started_ ? std::min(deadline, end_ - kAnswerDeliveryTime) : deadline;
 }
 
 bool drain_schedule::IsClosing(steady_time now) const {
@@ -42,7 +41,7 @@
 }
 
 bool drain_schedule::IsOver(steady_time now) const {
-  return started_ && now >= *started_ + settings_.deadline;
+  return started_ && now >= end_;
 }
 
 }  // namespace corianderhoist
--- a/src/http/drain_schedule.h
+++ b/src/http/drain_schedule.h
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 
@@ -23,7 +24,12 @@
  public:
   explicit drain_schedule(drain_settings settings) : settings_(settings) {}
 
-  void Begin(steady_time now) { started_ = now; }
+  void Begin(steady_time now) {
+    started_ = now;
+    end_ = now + settings_.deadline;
+  }
+  /// Moves the end of the drain to `now`: no further request may start.
+  void End(steady_time now) { end_ = std::min(end_, now); }
   bool HasBegun() const { return started_.has_value(); }
   /// Time since `Begin` at `time`; negative for a time before it and if there is no drain.
   std::chrono::milliseconds ElapsedAt(steady_time time) const;
@@ -44,6 +50,7 @@
  private:
   const drain_settings settings_;
   std::optional<steady_time> started_;
+  steady_time end_ = steady_time::max();
 };
 
 }  // namespace corianderhoist
--- a/tests/process/drain_end_test.cpp
+++ b/tests/process/drain_end_test.cpp
@@ -145,6 +145,23 @@
                          CPPUNIT_ASSERT_EQUAL_MESSAGE(seen, 0, code);
                        }));
 
+// Guards against requests that are taken after the sessions have been closed.
+const test_table kSecondSignal("drain", "a second signal leaves no request without an answer", [] {
+  entry_fixture fixture(Options("5s", "20s", 100));
+  endless_callers callers(fixture, 12, false);
+  std::this_thread::sleep_for(milliseconds(500));
+  fixture.Entry().SendSignal(SIGTERM);
+  std::this_thread::sleep_for(milliseconds(300));
+  fixture.Entry().SendSignal(SIGTERM);
+  CPPUNIT_ASSERT_EQUAL(3, fixture.Entry().WaitForEnd());
+  std::map<std::string, int> outcomes = callers.Join();
+  const std::string seen = Describe(outcomes);
+  for (const char* allowed : {"served", "unknown", "not_run: shutting_down"}) {
+    outcomes.erase(allowed);
+  }
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(seen, std::string(), Describe(outcomes));
+});
+
 struct upload_case {
   std::string name;
   std::string first_part;
@@ -169,6 +186,11 @@
          "HTTP/1.1 200", "/orders", 1},
         {"that ends too late for its work is refused", OrderHead(2) + "x", milliseconds(1600), "y",
          1000, "HTTP/1.1 503", "\"outcome\":\"not_run\"", 0},
+        {"that does not end is refused", OrderHead(9) + "x", milliseconds(1600), "y", 100,
+         "HTTP/1.1 503", "\"error\":\"shutting_down\",\"outcome\":\"not_run\"", 0},
+        {"whose header does not end is refused", "POST /orders HTTP/1.1\r\nHost: h\r\n",
+         milliseconds(1600), "A: b\r\n", 100, "HTTP/1.1 503",
+         "\"error\":\"shutting_down\",\"outcome\":\"not_run\"", 0},
     },
     std::function([](const upload_case& row) {
       entry_fixture fixture(Options("300ms", "2s", row.service_ms));
