--- a/src/entry/entry_vm.cpp
+++ b/src/entry/entry_vm.cpp
@@ -27,6 +27,8 @@
 constexpr std::size_t kSessionIdBytes = 8;
 constexpr milliseconds kPoolSweepInterval(500);
 constexpr milliseconds kDrainPollInterval(50);
+// A caller closes its connection within this time after its last answer.
+constexpr milliseconds kConnectionCloseTime(1000);
 
 caller_limits AnnouncementLimits(caller_limits limits) {
   limits.request.body_bytes = kMaxAnnouncementBodyBytes;
@@ -69,10 +71,18 @@
   result<void> OpenPorts();
   void StartControlLoop();
   void AddStateSections();
+  /// Calls `task(worker)` on the thread of each worker.
+  template <class Task>
+  void ForEachWorker(Task task) {
+    for (const auto& thread : threads) {
+      thread->loop.RunAndWait([&] { task(*thread->worker); });
+    }
+  }
   void BeginDrain();
   void PollDrain();
   void StopActiveRequests();
   void FinishShutdown(exit_code code);
+  void CloseConnections(exit_code code);
   bool IsDrained() const {
     return context.active_request_count == 0 && context.pending_completes == 0 &&
            callers->ConnectionCount() == 0;
@@ -89,11 +99,14 @@
   std::unique_ptr<caller_server> announcements;
   std::unique_ptr<status_server> status;
   std::unique_ptr<QTimer> drain_timer;
+  std::unique_ptr<QTimer> close_timer;
   steady_time drain_started_at;
   std::uint16_t callers_port = 0;
   std::uint16_t announcements_port = 0;
   std::atomic<bool> is_draining = false;
+  std::atomic<bool> are_sessions_ended = false;
   bool is_finishing_shutdown = false;
+  steady_time connections_close_by;
 };
 
 entry_vm::entry_vm(entry_settings settings, std::function<void(exit_code)> on_stopped)
@@ -101,6 +114,7 @@
 
 entry_vm::~entry_vm() {
   state_->drain_timer.reset();
+  state_->close_timer.reset();
   state_->status.reset();
   state_->announcements.reset();
   state_->callers.reset();
@@ -233,6 +247,7 @@
   drain_started_at = context.clock.Now();
   log_event(log_level::kInfo, "drain_started")
       .Field("running_requests", std::uint64_t(context.active_request_count));
+  ForEachWorker([this](entry_worker& worker) { worker.drain.Begin(drain_started_at); });
   callers->AnnounceClose();
   drain_timer = std::make_unique<QTimer>();
   QObject::connect(drain_timer.get(), &QTimer::timeout, drain_timer.get(), [this] { PollDrain(); });
@@ -245,6 +260,11 @@
     StopActiveRequests();
     return;
   }
+  ForEachWorker([](entry_worker& worker) {
+    for (const auto& request : worker.ActiveRequests()) {
+      request->OnDrainProgress();
+    }
+  });
   if (elapsed < context.settings.drain_delay) {
     return;
   }
@@ -258,17 +278,12 @@
 void entry_vm::state::StopActiveRequests() {
   log_event(log_level::kWarning, "drain_cut_short")
       .Field("running_requests", std::uint64_t(context.active_request_count));
-  for (const auto& thread : threads) {
-    thread->loop.RunAndWait([&thread] {
-      std::vector<std::shared_ptr<proxied_request>> active_requests;
-      for (const auto& [key, request] : thread->worker->active_requests) {
-        active_requests.push_back(request);
-      }
-      for (const auto& request : active_requests) {
-        request->Stop();
-      }
-    });
-  }
+  ForEachWorker([this](entry_worker& worker) {
+    worker.drain.End(context.clock.Now());
+    for (const auto& request : worker.ActiveRequests()) {
+      request->Stop();
+    }
+  });
   FinishShutdown(exit_code::kDrainDeadline);
 }
 
@@ -276,14 +291,30 @@
   if (std::exchange(is_finishing_shutdown, true)) {
     return;
   }
-  if (drain_timer) {
-    drain_timer->stop();
+  connections_close_by = context.clock.Now() + kConnectionCloseTime;
+  drain_timer->stop();
+  close_timer = std::make_unique<QTimer>();
+  QObject::connect(close_timer.get(), &QTimer::timeout, close_timer.get(),
+                   [this, code] { CloseConnections(code); });
+  control_loop->Post([this] { sessions->EndSessions([this] { are_sessions_ended = true; }); });
+  close_timer->start(kDrainPollInterval);
+}
+
+// Requests that arrive meanwhile are refused. Ends the shutdown when all answers are delivered.
+void entry_vm::state::CloseConnections(exit_code code) {
+  for (const auto& server : {callers.get(), announcements.get()}) {
+    server->AnnounceClose();
+    server->StopAccepting();
+    server->RefuseIncomplete({error_kind::kShuttingDown, "the proxy stops"});
   }
-  const auto finish = [this, code] {
-    log_event(log_level::kInfo, "stopped").Field("exit_code", static_cast<int>(code));
+  const std::size_t open = callers->ConnectionCount() + announcements->ConnectionCount();
+  if (are_sessions_ended && (open == 0 || context.clock.Now() >= connections_close_by)) {
+    close_timer->stop();
+    log_event(log_level::kInfo, "stopped")
+        .Field("exit_code", static_cast<int>(code))
+        .Field("connections", std::uint64_t(open));
     on_stopped(code);
-  };
-  control_loop->Post([this, finish] { sessions->EndSessions(finish); });
+  }
 }
 
 }  // namespace corianderhoist
--- a/src/http/caller_server.h
+++ b/src/http/caller_server.h
@@ -31,8 +31,10 @@
   result<std::uint16_t> Listen(const endpoint& address);
   /// Adds `Connection: close` to all further answers.
   void AnnounceClose();
-  /// Closes the port and all idle connections.
+  /// Closes the port and all idle connections. Call it again for connections that become idle.
   void StopAccepting();
+  /// Refuses all requests that have not been read completely.
+  void RefuseIncomplete(const error& failure);
   /// Resets all connections.
   void AbortAll();
   std::size_t ConnectionCount() const;
--- a/src/serving/drain_schedule.cpp
+++ b/src/http/drain_schedule.cpp
@@ -1,4 +1,4 @@
-#include "serving/drain_schedule.h"
+#include "http/drain_schedule.h"
 
 #include <algorithm>
 
@@ -27,7 +27,7 @@
 }
 
 steady_time drain_schedule::AnswerEnd() const {
-  return *started_ + settings_.deadline - kAnswerDeliveryTime;
+  return end_ - kAnswerDeliveryTime;
 }
 
 steady_time drain_schedule::UpstreamEnd() const {
@@ -47,7 +47,7 @@
 }
 
 bool drain_schedule::IsOver(steady_time now) const {
-  return started_ && now >= *started_ + settings_.deadline;
+  return started_ && now >= end_;
 }
 
 }  // namespace corianderhoist
--- a/tests/unit/serving/stop_test.cpp
+++ b/tests/unit/serving/stop_test.cpp
@@ -1,7 +1,7 @@
 // Graceful shutdown of an entry VM under a load that goes on until its process is gone.
+#include "http/answer_time.h"
+#include "http/drain_schedule.h"
 #include "platform/header_names.h"
-#include "serving/answer_time.h"
-#include "serving/drain_schedule.h"
 #include "serving/upstream_call.h"
 #include "support/serving_fixture.h"
 #include "support/test_table.h"
--- a/tests/unit/serving/upstream_call_test.cpp
+++ b/tests/unit/serving/upstream_call_test.cpp
@@ -38,6 +38,7 @@
       plan.headers = {{names_.attempt_id, id}};
       plan.attempt_id = id;
       plan.body_length = 0;
+      plan.deadline = SystemClock().Now() + std::chrono::seconds(10);
       plan.connect_timeout = milliseconds(1000);
       plan.max_idle_time = milliseconds(1000);
       upstream_call::events events;
