End all attempts of an entry VM before the state that they refer to is destroyed

Seen: the test program ended by a segmentation fault in 'stop under load cuts no request::that may be repeated', once, in a full run beside load. The kernel log and the link table lead to fleet_link::NoteLoad, called from the end of an attempt. An entry VM would have ended by a signal at the end of a planned stop.

Cause: a request that has its answer leaves a second attempt to end by itself, kept alive by a timer only. Its end, or that timer, used the context after ~serving_vm had destroyed it.

Fix: the context owns ended requests whose attempts still run; the destructor ends all attempts first.

--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -586,6 +586,9 @@
   }
   last_attempt_detail_ = detail;
   if (is_complete_) {
+    if (attempts_.empty()) {
+      context_.ended_flows.erase(this);
+    }
     return;
   }
   if (streaming_ == this_attempt) {
@@ -888,15 +891,23 @@
   // the event loop.
   const auto self = found->second;
   context_.flows.erase(found);
-  for (const attempt_ptr& each : attempts_) {
-    QTimer::singleShot(milliseconds(std::max<std::int64_t>(TimeLeft().count(), 0)), [self, each] {
-      if (std::erase(self->attempts_, each) > 0) {
-        self->context_.tracker.End(each->upstream);
-        each->call->Cancel();
+  if (!attempts_.empty()) {
+    context_.ended_flows.emplace(this, self);
+    QTimer::singleShot(std::max(TimeLeft(), milliseconds(0)), [weak = weak_from_this()] {
+      if (const auto flow = weak.lock()) {
+        flow->Abandon();
+        flow->context_.ended_flows.erase(flow.get());
       }
     });
   }
   QTimer::singleShot(0, [self] {});
 }
 
+void request_flow::Abandon() {
+  is_complete_ = true;
+  deadline_timer_.stop();
+  slow_timer_.stop();
+  CancelAttempts();
+}
+
 }  // namespace corianderhoist
--- a/src/serving/request_flow.h
+++ b/src/serving/request_flow.h
@@ -69,6 +69,9 @@
   upstream_tracker tracker;
   std::mt19937_64 random;
   std::unordered_map<request_flow*, std::shared_ptr<request_flow>> flows;
+  /// Requests that have ended while another attempt still runs. They are owned here, since that
+  /// attempt uses this context when it ends.
+  std::unordered_map<request_flow*, std::shared_ptr<request_flow>> ended_flows;
   std::map<std::string, double> answer_kilobytes;   ///< Moving average, by route.
   std::map<std::string, answer_time> answer_times;  ///< By route.
   std::map<std::string, double> split_positions;    ///< By route; see `ChoosePart`.
@@ -92,6 +95,8 @@
   request_flow& operator=(const request_flow&) = delete;
 
   void Start();
+  /// Ends all attempts without an answer. No further event refers to the context.
+  void Abandon();
   /// Applies the end of the drain to the time left, ends the request if none is left, and refuses
   /// it if it has not been sent to an upstream and can no longer be answered in time. Called
   /// repeatedly during a drain.
--- a/src/serving/serving_vm.cpp
+++ b/src/serving/serving_vm.cpp
@@ -32,7 +32,12 @@
     listener_.reset();
     connections_.clear();
     if (context_) {
-      context_->flows.clear();
+      for (auto* flows : {&context_->flows, &context_->ended_flows}) {
+        for (const auto& [key, flow] : *flows) {
+          flow->Abandon();
+        }
+        flows->clear();
+      }
     }
   });
   // Tasks that were posted during the destruction above still refer to the remaining members.
--- a/tests/unit/serving/stop_test.cpp
+++ b/tests/unit/serving/stop_test.cpp
@@ -488,5 +488,45 @@
   CPPUNIT_ASSERT_EQUAL(std::string("700"), upstream.Requests().at(0).Header("X-Deadline-Ms"));
 });
 
+// Keeps an event loop busy, so that events from elsewhere fall between those of a destructor.
+void KeepBusy(io_loop& loop, int times) {
+  loop.Post([&loop, times] {
+    std::this_thread::sleep_for(milliseconds(40));
+    if (times > 1) {
+      KeepBusy(loop, times - 1);
+    }
+  });
+}
+
+// Guards against the use of freed memory by an answer to the undelivered attempt of a request that
+// has ended, while the VM is destroyed.
+const test_table kUndelivered("stop", "while attempts that are not delivered are under way", [] {
+  constexpr int kCallers = 24;
+  serving_fixture fixture;
+  fixture.SetDrain(milliseconds(10), milliseconds(200));
+  std::atomic<int> requests = 0;
+  for (const std::string id : {"u1", "u2", "u3", "u4"}) {
+    fixture.Add(id, "reads", [&](const scripted_request& request) {
+      // The first attempts are slow, their hedges are answered at once.
+      const int number = ++requests;
+      return AnswerAfter(request,
+                         number <= kCallers ? milliseconds(550 + 20 * number) : milliseconds(0));
+    });
+  }
+  fixture.Start();
+  std::vector<std::thread> callers;
+  std::atomic<int> served = 0;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.emplace_back(
+        [&, i] { served += fixture.Call({.id = "id" + std::to_string(i)}).status == 200 ? 1 : 0; });
+  }
+  for (std::thread& each : callers) {
+    each.join();
+  }
+  CPPUNIT_ASSERT_EQUAL(kCallers, served.load());
+  KeepBusy(fixture.Vm().Loop(), 40);
+  fixture.Stop();
+});
+
 }  // namespace
 }  // namespace corianderhoist
