--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -9,6 +9,7 @@
 #include <QCoreApplication>
 #include <QJsonDocument>
 #include <QJsonObject>
+#include <QProcessEnvironment>
 #include <QStringList>
 
 #include <cassert>
@@ -94,6 +95,15 @@
   Kill();
 }
 
+void child_process::SetEnvironment(const std::string& name, const std::string& value) {
+  QProcessEnvironment environment = process_.processEnvironment();
+  if (environment.isEmpty()) {
+    environment = QProcessEnvironment::systemEnvironment();
+  }
+  environment.insert(QString::fromStdString(name), QString::fromStdString(value));
+  process_.setProcessEnvironment(environment);
+}
+
 void child_process::Start() {
   assert(!IsRunning() && "the process is already running");
   std::error_code status;
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -54,6 +54,8 @@
   child_process(const child_process&) = delete;
   child_process& operator=(const child_process&) = delete;
 
+  /// Adds a variable to the environment of the following starts.
+  void SetEnvironment(const std::string& name, const std::string& value);
   /// Starts the program and appends its output to the log file.
   void Start();
   bool IsRunning();
