Soak: let some upstreams work for seconds, so that a stop lasts its whole grace period

Otherwise a stopped entry VM has answered everything after about 2.3 s, and no request arrives late in its grace period.

--- a/tests/soak/soak_callers.cpp
+++ b/tests/soak/soak_callers.cpp
@@ -7,8 +7,8 @@
 namespace corianderhoist::soak {
 namespace {
 
-constexpr run_time kTimeLimit{4000};
-constexpr run_time kAnswerTimeout{4600};
+constexpr run_time kTimeLimit{8000};
+constexpr run_time kAnswerTimeout{8600};
 constexpr run_time kConnectTimeout{1000};
 constexpr run_time kReadyInterval{1000};
 constexpr int kMissesOutOfRotation = 2;
--- a/tests/soak/soak_operator.cpp
+++ b/tests/soak/soak_operator.cpp
@@ -19,7 +19,7 @@
 
 QJsonObject Route(const char* path, const char* kind, const char* service, int priority) {
   return {{"host", kHost},      {"path_prefix", path}, {"kind", kind},
-          {"timeout_ms", 5000}, {"goal_ms", 2500},     {"priority", priority},
+          {"timeout_ms", 8000}, {"goal_ms", 2500},     {"priority", priority},
           {"service", service}, {"attempts", 2},       {"public", false}};
 }
 
