Stop the tasks of a core VM before its replica is destroyed

Operators and upstreams saw connections to a core VM end without an answer: after SIGTERM the process ended with SIGSEGV instead of exit code 0.

Cause: a read that waits for a leader checks replica_->FreshAt() every 15 ms on the core's loop. The destructor reset the pointer on another thread while the loop still ran. Class: tasks that outlive the object they use. The loop now ends before the replica is destroyed.

--- a/src/fleet/fleet_core.cpp
+++ b/src/fleet/fleet_core.cpp
@@ -65,8 +65,10 @@
     queued_callbacks_.clear();
   });
   server_.Close();
-  replica_.reset();
   loop_.RunAndWait([this] { channels_.clear(); });
+  // Timers of waiting reads and announcements still use the replica.
+  loop_.Stop();
+  replica_.reset();
 }
 
 result<void> fleet_core::Start() {
--- a/src/wire/io_loop.cpp
+++ b/src/wire/io_loop.cpp
@@ -14,6 +14,10 @@
 }
 
 io_loop::~io_loop() {
+  Stop();
+}
+
+void io_loop::Stop() {
   thread_.quit();
   thread_.wait();
 }
--- a/src/wire/io_loop.h
+++ b/src/wire/io_loop.h
@@ -27,6 +27,9 @@
   /// Runs `task` on the thread and blocks until it returns. Must not be called on the thread
   /// itself.
   void RunAndWait(const std::function<void()>& task);
+  /// Ends the thread after its current task. Tasks that have not run are dropped, also those posted
+  /// later.
+  void Stop();
   bool IsCurrent() const;
   /// A QObject with affinity to the thread, for use as context of signal connections.
   QObject* Context() const { return context_.get(); }
--- a/tests/unit/fleet/fleet_core_test.cpp
+++ b/tests/unit/fleet/fleet_core_test.cpp
@@ -216,5 +216,20 @@
       CPPUNIT_ASSERT_EQUAL(std::string(), failure);
     });
 
+const test_table kStopWithReads("core group",
+                                "a member that stops while reads wait does not crash",
+                                [] {
+                                  for (int round = 0; round < 5; ++round) {
+                                    core_group group;
+                                    group.Start(1, true);
+                                    for (int read = 0; read < 200; ++read) {
+                                      group.Core(1).ReadPolicy(
+                                          [](const rpc_result<policy_document>&) {});
+                                      std::this_thread::sleep_for(std::chrono::microseconds(100));
+                                    }
+                                    group.Stop(1);
+                                  }
+                                });
+
 }  // namespace
 }  // namespace corianderhoist
