--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr run_time kRestartDelay{200};
+constexpr run_time kStartTime{2000};
 // A wiped core VM counts as lost until it has caught up.
 constexpr run_time kCalmBeforeWipe{6000};
 
@@ -111,6 +112,7 @@
 void fault_injector::Kill(soak_vm& vm, std::size_t record, run_time restart_delay) {
   vm.open_faults.push_back(record);
   vm.is_expected_down = true;
+  vm.is_killed = true;
   vm.restart_delay = restart_delay;
   vm.Process().Kill();
 }
@@ -174,6 +176,7 @@
       if (!vm.was_paused_in_stop) {
         judge_.ProcessEnded(vm.Name(), now, "still ran at the end of its grace period");
       }
+      vm.is_killed = true;
       vm.Process().Kill();
     }
     return;
@@ -203,9 +206,15 @@
   if (!vm.is_expected_down) {
     judge_.ProcessEnded(vm.Name(), now, "ended by itself, exit code " + std::to_string(exit_code));
     vm.restart_delay = kRestartDelay;
-  } else if (vm.stop_deadline && *vm.stop_deadline >= now) {
+  } else if (!vm.is_killed) {
     print_(now, "ended " + vm.Name() + ", exit code " + std::to_string(exit_code));
+    // SIGTERM ends a process that has not yet installed its handler.
+    if (exit_code != 0 && *vm.stop_deadline - bounds_.grace > vm.started + kStartTime) {
+      judge_.ProcessEnded(vm.Name(), now,
+                          "ended after SIGTERM with exit code " + std::to_string(exit_code));
+    }
   }
+  vm.is_killed = false;
   if (vm.resume_at) {
     judge_.EndFault(*vm.open_pause, now);
   }
--- a/tests/soak/soak_fleet.h
+++ b/tests/soak/soak_fleet.h
@@ -33,6 +33,7 @@
   bool is_expected_down = false;
   bool was_paused_in_stop = false;
   bool is_wiped = false;
+  bool is_killed = false;
   std::optional<run_time> stop_deadline;
   std::optional<run_time> restart_at;
   std::optional<run_time> resume_at;
