--- a/tests/support/fault_proxy.cpp
+++ b/tests/support/fault_proxy.cpp
@@ -1,6 +1,10 @@
 #include "support/fault_proxy.h"
 
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <QHostAddress>
 #include <QTimer>
@@ -20,6 +24,34 @@
 // sender.
 constexpr std::size_t kMaxBufferedBytes = 4'194'304;
 
+// Tells whether the peer reset a connection, which QTcpSocket reports as a close. Its descriptor
+// keeps the connection open until `Release`.
+class reset_watch {
+ public:
+  reset_watch() = default;
+  ~reset_watch() { Release(); }
+  reset_watch(const reset_watch&) = delete;
+  reset_watch& operator=(const reset_watch&) = delete;
+
+  void Watch(const QTcpSocket& socket) {
+    descriptor_ = ::fcntl(static_cast<int>(socket.socketDescriptor()), F_DUPFD_CLOEXEC, 0);
+  }
+  bool IsReset() const {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    return ::getsockopt(descriptor_, IPPROTO_TCP, TCP_INFO, &info, &size) == 0 &&
+           info.tcpi_state == TCP_CLOSE;
+  }
+  void Release() {
+    if (descriptor_ >= 0) {
+      ::close(std::exchange(descriptor_, -1));
+    }
+  }
+
+ private:
+  int descriptor_ = -1;
+};
+
 void ResetSocket(QTcpSocket& socket) {
   const linger immediate{1, 0};
   if (socket.socketDescriptor() >= 0) {
@@ -109,14 +141,21 @@
         backward_(target_, *caller, proxy.backward_) {
     caller_->setParent(nullptr);
     caller_->setSocketOption(QAbstractSocket::LowDelayOption, 1);
+    caller_watch_.Watch(*caller_);
     QObject::connect(&target_, &QTcpSocket::connected, &target_, [this] {
+      target_watch_.Watch(target_);
       target_.setSocketOption(QAbstractSocket::LowDelayOption, 1);
       Pump();
     });
     for (QTcpSocket* socket : {caller_.get(), &target_}) {
       QObject::connect(socket, &QTcpSocket::readyRead, socket, [this] { Pump(); });
       QObject::connect(socket, &QTcpSocket::errorOccurred, socket, [this] { Pump(); });
-      QObject::connect(socket, &QTcpSocket::disconnected, socket, [this] { Pump(); });
+      QObject::connect(socket, &QTcpSocket::disconnected, socket, [this, socket] {
+        reset_watch& watch = socket == &target_ ? target_watch_ : caller_watch_;
+        was_reset_ |= watch.IsReset();
+        watch.Release();
+        Pump();
+      });
     }
     QObject::connect(&timer_, &QTimer::timeout, &timer_, [this] { Pump(); });
     target_.connectToHost(QHostAddress(QString::fromStdString(proxy.target_.ip)),
@@ -161,15 +200,15 @@
 
  private:
   // Closes one side once the other is closed and all buffered bytes of that direction are
-  // forwarded. A cut direction does not propagate the close.
+  // forwarded; resets it if the other was reset. A cut direction does not propagate the close.
   void PropagateClose() {
     const bool is_caller_closed = caller_->state() == QAbstractSocket::UnconnectedState;
     const bool is_target_closed = target_.state() == QAbstractSocket::UnconnectedState;
     if (is_caller_closed && !is_target_closed && !proxy_.forward_.is_cut && forward_.IsEmpty()) {
-      target_.disconnectFromHost();
+      CloseAs(target_);
     }
     if (is_target_closed && !is_caller_closed && !proxy_.backward_.is_cut && backward_.IsEmpty()) {
-      caller_->disconnectFromHost();
+      CloseAs(*caller_);
     }
     if (is_caller_closed && is_target_closed && !is_removing_) {
       is_removing_ = true;
@@ -178,14 +217,30 @@
     }
   }
 
+  void CloseAs(QTcpSocket& socket) {
+    if (!was_reset_) {
+      return socket.disconnectFromHost();
+    }
+    // A reset drops bytes that are not sent yet.
+    socket.flush();
+    if (socket.bytesToWrite() == 0) {
+      ResetSocket(socket);
+    } else if (!timer_.isActive()) {
+      timer_.start(kPumpInterval);
+    }
+  }
+
   fault_proxy& proxy_;
   std::unique_ptr<QTcpSocket> caller_;
   QTcpSocket target_;
+  reset_watch caller_watch_;
+  reset_watch target_watch_;
   pipe_direction forward_;
   pipe_direction backward_;
   QTimer timer_;
   bool is_pumping_ = false;
   bool is_removing_ = false;
+  bool was_reset_ = false;
 };
 
 fault_proxy::fault_proxy(io_loop& loop, endpoint target)
