Obey what upstreams state about themselves in their answers

Such requests meet a closed connection or another refusal, and break DRAIN and BUDGET of the users' platform.

Cause: the answer head was read for the delivery to the caller only. Leaving was known from announcements alone.

Fix: upstream_statements keeps the statements of each incarnation, by id and start rather than by roster handle: the roster may drop an expired incarnation and list it again, and a core group that was bootstrapped anew assigns handles from the beginning. upstream_call reports each head that the addressed incarnation has certainly sent, including those of attempts that lost against a hedge, of broken responses, and of late responses to the previous request on the connection. Upstreams that leave or accept no requests are no candidates, and upstream_call asks again once the connection is established, right before it writes the head. An attempt that is withheld there goes to another upstream with the token of its repeat. If no upstream of the service is left, the request is refused at once as not run; Retry-After tells when the first one accepts requests.

--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -55,6 +55,7 @@
 // Jitter, so that callers which are refused at the same time do not retry at the same time.
 constexpr milliseconds kMinRetryAfter(200);
 constexpr milliseconds kRetryAfterJitter(600);
+constexpr int kLongRetryAfterJitterDivisor = 4;
 constexpr milliseconds kMinRetryElsewhere(10);
 constexpr milliseconds kRetryElsewhereJitter(90);
 
@@ -74,6 +75,8 @@
       return "answered";
     case call_result::kNotConnected:
       return "not_connected";
+    case call_result::kWithheld:
+      return "withheld";
     case call_result::kNotExecuted:
       return "not_executed";
     case call_result::kWrongInstance:
@@ -86,6 +89,42 @@
   return "unknown";
 }
 
+// Records and logs what an answer says about its upstream.
+void NoteStatement(serving_context& context,
+                   const upstream_incarnation& incarnation,
+                   const answer_head& head) {
+  const upstream_statement statement = ReadStatement(head, context.settings.upstreams.statements);
+  if (statement.IsEmpty()) {
+    return;
+  }
+  static counter& heard = metrics::Instance().Counter("upstream_statements.heard");
+  static counter& invalid = metrics::Instance().Counter("upstream_statements.invalid");
+  heard.Add();
+  const bool has_changed = context.statements.Note(incarnation, statement);
+  if (has_changed) {
+    log_event(log_level::kInfo, "upstream_statement")
+        .Field("upstream", incarnation.id)
+        .Field("started_ms", std::int64_t(incarnation.started.time_since_epoch().count()))
+        .Field("is_leaving", static_cast<int>(statement.is_leaving))
+        .Field("closed_ms", std::int64_t(statement.closed_for.count()))
+        .Field("status", head.status);
+  }
+  if (!statement.invalid_values.empty()) {
+    invalid.Add(statement.invalid_values.size());
+    log_event(log_level::kWarning, "upstream_statement_invalid")
+        .Field("upstream", incarnation.id)
+        .Field("started_ms", std::int64_t(incarnation.started.time_since_epoch().count()))
+        .Field("value", statement.invalid_values.front())
+        .Field("status", head.status);
+  }
+}
+
+void NoteKeptAway(serving_context& context, const upstream_incarnation& incarnation) {
+  static counter& kept_away = metrics::Instance().Counter("upstream_statements.kept_away");
+  kept_away.Add();
+  context.statements.NoteKeptAway(incarnation);
+}
+
 }  // namespace
 
 serving_context::serving_context(serving_settings initial_settings,
@@ -100,6 +139,7 @@
       repeats(settings.repeats, time),
       connections(time),
       tracker(shared_view, shared_link, settings.place, settings.vm, time),
+      statements(time, FastHash(RandomBytes(16))),
       random(FastHash(RandomBytes(16))),
       drain(settings.drain) {}
 
@@ -266,7 +306,7 @@
   context_.repeats.CountRequest(service_);
   context_.link.NoteService(service_, fleet_link::service_event::kRequest);
   if (!StartNextAttempt(false)) {
-    Refuse(error_kind::kNoUpstream, "no upstream of the service is known");
+    Refuse(error_kind::kNoUpstream, "no upstream of the service is known or accepts requests");
   }
 }
 
@@ -278,12 +318,18 @@
   std::vector<placement_candidate> candidates;
   std::vector<const known_upstream*> upstreams;
   for (const known_upstream* upstream : known) {
-    if (!tried_upstreams_.contains(upstream->entry.handle)) {
-      placement_candidate candidate = context_.tracker.CandidateOf(*upstream, may_fail);
-      candidate.has_connection = context_.connections.Has(upstream->entry.handle, MaxIdleTime());
-      candidates.push_back(candidate);
-      upstreams.push_back(upstream);
+    if (tried_upstreams_.contains(upstream->entry.handle)) {
+      continue;
     }
+    const upstream_incarnation incarnation = IncarnationOf(upstream->entry);
+    if (!context_.statements.MaySend(incarnation)) {
+      NoteKeptAway(context_, incarnation);
+      continue;
+    }
+    placement_candidate candidate = context_.tracker.CandidateOf(*upstream, may_fail);
+    candidate.has_connection = context_.connections.Has(upstream->entry.handle, MaxIdleTime());
+    candidates.push_back(candidate);
+    upstreams.push_back(upstream);
   }
   const double kilobytes = TransferKilobytes();
   placement_costs costs;
@@ -376,6 +422,8 @@
   auto this_attempt = std::make_shared<attempt>();
   this_attempt->upstream = upstream.entry.handle;
   this_attempt->upstream_id = upstream.entry.id;
+  this_attempt->incarnation = IncarnationOf(upstream.entry);
+  this_attempt->is_repeat = is_repeat;
   this_attempt->started = context_.clock.Now();
   has_trial_attempt_ = has_trial_attempt_ || is_trial;
   tried_upstreams_.insert(this_attempt->upstream);
@@ -383,6 +431,12 @@
   context_.tracker.Start(this_attempt->upstream);
   const std::weak_ptr<request_flow> weak = weak_from_this();
   upstream_call::events events;
+  events.may_send = [this_attempt, &context = context_] {
+    return context.statements.MaySend(this_attempt->incarnation);
+  };
+  events.on_own_head = [this_attempt, &context = context_](const answer_head& head) {
+    NoteStatement(context, this_attempt->incarnation, head);
+  };
   events.on_sent = [weak, is_repeat] {
     if (const auto self = weak.lock()) {
       ++self->possible_runs_;
@@ -568,6 +622,9 @@
       ++failed_connects_;
       NoteEvidence(*this_attempt, attempt_evidence::kTimedOut, false);
       break;
+    case call_result::kWithheld:
+      NoteKeptAway(context_, this_attempt->incarnation);
+      break;
     case call_result::kNotExecuted:
       context_.tracker.NoteShed(this_attempt->upstream);
       break;
@@ -605,6 +662,11 @@
     OnAnswered(this_attempt);
     return;
   }
+  // An attempt that was not sent has not used the token of its repeat.
+  if (result == call_result::kWithheld && MayRepeat() &&
+      StartNextAttempt(this_attempt->is_repeat)) {
+    return;
+  }
   if (is_server_error) {
     failure_head_ = this_attempt->head;
     failure_body_ = this_attempt->body;
@@ -717,6 +779,17 @@
   Complete();
 }
 
+milliseconds request_flow::TimeUntilOpen() const {
+  std::optional<milliseconds> first;
+  for (const known_upstream* upstream : context_.view.UpstreamsOf(service_)) {
+    const auto time = context_.statements.TimeUntilOpen(IncarnationOf(upstream->entry));
+    if (time && (!first || *time < *first)) {
+      first = time;
+    }
+  }
+  return first.value_or(milliseconds(0));
+}
+
 milliseconds request_flow::RetryAfter(error_kind kind) {
   const auto base = AnswerFor(kind).retry_after;
   if (!base) {
@@ -727,6 +800,12 @@
     return kMinRetryElsewhere + milliseconds(static_cast<std::int64_t>(
                                     context_.random() % kRetryElsewhereJitter.count()));
   }
+  if (kind == error_kind::kNoUpstream || kind == error_kind::kUpstreamUnreachable) {
+    const milliseconds wait = std::max(kMinRetryAfter, TimeUntilOpen());
+    const milliseconds jitter = std::max(kRetryAfterJitter, wait / kLongRetryAfterJitterDivisor);
+    return wait + milliseconds(static_cast<std::int64_t>(
+                      context_.random() % static_cast<std::uint64_t>(jitter.count())));
+  }
   const bool is_long = kind == error_kind::kRequestHeldBack;
   const auto spread = milliseconds(static_cast<std::int64_t>(
       context_.random() % static_cast<std::uint64_t>(kRetryAfterJitter.count())));
--- a/src/serving/request_flow.h
+++ b/src/serving/request_flow.h
@@ -14,6 +14,7 @@
 #include "serving/repeat_budget.h"
 #include "serving/transfer_cost.h"
 #include "serving/upstream_call.h"
+#include "serving/upstream_statements.h"
 #include "serving/upstream_tracker.h"
 
 #include <QTimer>
@@ -67,6 +68,7 @@
   repeat_budget repeats;
   connection_cache connections;
   upstream_tracker tracker;
+  upstream_statements statements;
   std::mt19937_64 random;
   std::unordered_map<request_flow*, std::shared_ptr<request_flow>> flows;
   std::map<std::string, double> answer_kilobytes;   ///< Moving average, by route.
@@ -103,9 +105,11 @@
     std::shared_ptr<upstream_call> call;
     upstream_handle upstream = 0;
     std::string upstream_id;
+    upstream_incarnation incarnation;
     steady_time started;
     answer_head head;
     std::string body;
+    bool is_repeat = false;
     bool is_silence_reported = false;  ///< The missing response has been reported.
   };
   using attempt_ptr = std::shared_ptr<attempt>;
@@ -156,6 +160,8 @@
   bool MayStart() const;
   bool IsIdempotent() const { return route_->is_idempotent; }
   std::chrono::milliseconds RetryAfter(error_kind kind);
+  /// Time until an upstream of the service accepts requests; zero if one does or all of them leave.
+  std::chrono::milliseconds TimeUntilOpen() const;
 
   serving_context& context_;
   http_request request_;
--- a/src/serving/serving_vm.cpp
+++ b/src/serving/serving_vm.cpp
@@ -3,6 +3,8 @@
 #include "base/log.h"
 #include "observe/metrics.h"
 
+#include <QJsonArray>
+
 #include <algorithm>
 #include <utility>
 
@@ -125,8 +127,12 @@
   UpdateReady();
   if (now >= next_upstream_sweep_) {
     next_upstream_sweep_ = now + kUpstreamSweepInterval;
-    context_->connections.Sweep([this](upstream_handle handle) { return view_->IsKnown(handle); });
+    context_->connections.Sweep([this](upstream_handle handle) {
+      const known_upstream* upstream = view_->Find(handle);
+      return upstream != nullptr && !context_->statements.IsLeaving(IncarnationOf(upstream->entry));
+    });
     context_->tracker.Sweep();
+    context_->statements.Sweep();
   }
   if (context_->drain.HasBegun() && !has_drained_) {
     ContinueDrain();
@@ -203,8 +209,23 @@
 }
 
 QJsonObject serving_vm::Dump() const {
-  const auto age = std::chrono::duration_cast<milliseconds>(clock_.Now() - view_->FreshAt());
+  const steady_time now = clock_.Now();
+  const auto age = std::chrono::duration_cast<milliseconds>(now - view_->FreshAt());
+  QJsonArray statements;
+  for (const auto& [incarnation, record] : context_->statements.Records()) {
+    const auto until_open = std::chrono::ceil<milliseconds>(record.opens_at - now);
+    const auto since = std::chrono::duration_cast<milliseconds>(now - record.first_heard);
+    statements.push_back(QJsonObject{
+        {"upstream", QString::fromStdString(incarnation.id)},
+        {"started_ms", static_cast<qint64>(incarnation.started.time_since_epoch().count())},
+        {"is_leaving", record.is_leaving},
+        {"closed_ms", static_cast<qint64>(std::max(until_open, milliseconds(0)).count())},
+        {"age_ms", static_cast<qint64>(since.count())},
+        {"kept_away", static_cast<qint64>(record.kept_away)},
+        {"invalid_values", static_cast<qint64>(record.invalid_values)}});
+  }
   return {{"is_ready", is_ready_.load()},
+          {"upstream_statements", statements},
           {"policy_version", static_cast<qint64>(view_->Policy() ? view_->Policy()->Version() : 0)},
           {"state_age_ms", static_cast<qint64>(age.count())},
           {"connections", static_cast<qint64>(connections_.size())},
--- a/src/serving/upstream_call.cpp
+++ b/src/serving/upstream_call.cpp
@@ -56,15 +56,14 @@
   return found != idle_.end() && IsUsable(found->second.back(), max_idle_time, clock_.Now());
 }
 
-std::unique_ptr<tcp_stream> connection_cache::Take(upstream_handle upstream,
-                                                   milliseconds max_idle_time) {
+idle_stream connection_cache::Take(upstream_handle upstream, milliseconds max_idle_time) {
   // A connection that has been idle for too long for this request may be usable for another one.
   // `Sweep` closes those whose lifetime has ended.
   if (!Has(upstream, max_idle_time)) {
-    return nullptr;
+    return {};
   }
   const auto found = idle_.find(upstream);
-  std::unique_ptr<tcp_stream> taken = std::move(found->second.back().stream);
+  idle_stream taken = std::move(found->second.back().idle);
   found->second.pop_back();
   if (found->second.empty()) {
     idle_.erase(found);
@@ -72,17 +71,16 @@
   return taken;
 }
 
-void connection_cache::Put(upstream_handle upstream,
-                           std::unique_ptr<tcp_stream> stream,
-                           milliseconds lifetime) {
+void connection_cache::Put(upstream_handle upstream, idle_stream idle, milliseconds lifetime) {
   const steady_time now = clock_.Now();
   const std::uint64_t id = next_id_++;
   // A connection that receives data or is closed while idle cannot be reused.
-  stream->SetEvents({.on_connected = {},
-                     .on_bytes = [this, upstream, id](std::string_view) { Remove(upstream, id); },
-                     .on_end = [this, upstream, id](stream_end) { Remove(upstream, id); },
-                     .on_drained = {}});
-  idle_[upstream].push_back({std::move(stream), now, now + lifetime, id});
+  idle.stream->SetEvents(
+      {.on_connected = {},
+       .on_bytes = [this, upstream, id](std::string_view) { Remove(upstream, id); },
+       .on_end = [this, upstream, id](stream_end) { Remove(upstream, id); },
+       .on_drained = {}});
+  idle_[upstream].push_back({std::move(idle), now, now + lifetime, id});
 }
 
 void connection_cache::Remove(upstream_handle upstream, std::uint64_t id) {
@@ -162,7 +160,9 @@
 void upstream_call::Start() {
   ResetReader();
   if (plan_.max_idle_time.count() > 0) {
-    stream_ = cache_.Take(plan_.upstream, plan_.max_idle_time);
+    idle_stream idle = cache_.Take(plan_.upstream, plan_.max_idle_time);
+    stream_ = std::move(idle.stream);
+    earlier_attempt_id_ = std::move(idle.last_attempt_id);
   }
   if (stream_) {
     is_reused_ = true;
@@ -200,6 +200,11 @@
 
 void upstream_call::SendHead() {
   const auto keep_alive = shared_from_this();
+  // The upstream may have stated while the connection was being established that it leaves.
+  if (events_.may_send && !events_.may_send()) {
+    Finish(call_result::kWithheld, "the upstream accepts no requests");
+    return;
+  }
   std::string text = plan_.request_line + " HTTP/1.1\r\n";
   for (const header_field& field : plan_.headers) {
     text += field.name + ": " + field.value + "\r\n";
@@ -284,6 +289,9 @@
   is_keep_alive_ = false;
   const std::string* id = FindHeader(head.headers, header_names_.attempt_id);
   is_other_request_ = id != nullptr && !plan_.attempt_id.empty() && *id != plan_.attempt_id;
+  if (events_.on_own_head && IsOwnHead(head, id)) {
+    events_.on_own_head(head);
+  }
   if (is_other_request_) {
     return;
   }
@@ -310,6 +318,18 @@
   }
 }
 
+// The process at the other end of the connection can be another incarnation, which says so by its
+// status. Responses without the id of a request of this connection may be stray bytes.
+bool upstream_call::IsOwnHead(const answer_head& head, const std::string* id) const {
+  if (head.status == kMisdirectedRequestStatus) {
+    return false;
+  }
+  if (is_other_request_) {
+    return !earlier_attempt_id_.empty() && *id == earlier_attempt_id_;
+  }
+  return id != nullptr || !is_reused_ || plan_.attempt_id.empty();
+}
+
 void upstream_call::OnAnswerComplete() {
   is_keep_alive_ = reader_->IsKeepAlive();
   if (is_other_request_) {
@@ -378,7 +398,7 @@
     return;
   }
   if (is_reusable && ReuseLifetime().count() > 0) {
-    cache_.Put(plan_.upstream, std::move(stream_), ReuseLifetime());
+    cache_.Put(plan_.upstream, {std::move(stream_), plan_.attempt_id}, ReuseLifetime());
     return;
   }
   // Destroyed by the event loop, since the stream may be in use further up the call stack.
--- a/src/serving/upstream_call.h
+++ b/src/serving/upstream_call.h
@@ -7,6 +7,7 @@
 #include "http/answer_reader.h"
 #include "http/message.h"
 #include "net/tcp_stream.h"
+#include "serving/upstream_statements.h"
 
 #include <chrono>
 #include <cstdint>
@@ -28,12 +29,14 @@
   std::string workspace;     ///< Workspace that the key of the request belongs to.
   std::string not_executed;  ///< In a response: the upstream did not run the request.
   std::string signature;     ///< In a response: proves that the upstream produced it.
+  statement_header_names statements;
 };
 
 /// The result of an attempt.
 enum class call_result : std::uint8_t {
   kAnswered,       ///< A complete, valid response of the upstream.
   kNotConnected,   ///< Nothing was sent.
+  kWithheld,       ///< Nothing was sent: the upstream no longer accepts requests.
   kNotExecuted,    ///< The upstream states that it did not run the request.
   kWrongInstance,  ///< Another incarnation responded and did not run it.
   kLost,           ///< The connection ended without a response; the request may have run.
@@ -42,31 +45,34 @@
 
 /// Whether it is certain that the request has not run and will not run.
 inline bool IsNotRun(call_result result) {
-  return result == call_result::kNotConnected || result == call_result::kNotExecuted ||
-         result == call_result::kWrongInstance;
+  return result == call_result::kNotConnected || result == call_result::kWithheld ||
+         result == call_result::kNotExecuted || result == call_result::kWrongInstance;
 }
 
+/// A connection on which no request is running.
+struct idle_stream {
+  std::unique_ptr<tcp_stream> stream;
+  std::string last_attempt_id;  ///< Of the last request that was sent on it.
+};
+
 /// Pool of idle connections to upstreams. One per event loop.
 class connection_cache {
  public:
   explicit connection_cache(const clock_source& clock) : clock_(clock) {}
 
-  /// Returns an open connection that has been idle for at most `max_idle_time`, or null.
-  std::unique_ptr<tcp_stream> Take(upstream_handle upstream,
-                                   std::chrono::milliseconds max_idle_time);
+  /// Returns an open connection that has been idle for at most `max_idle_time`, or a null stream.
+  idle_stream Take(upstream_handle upstream, std::chrono::milliseconds max_idle_time);
   /// Whether `Take` would return one.
   bool Has(upstream_handle upstream, std::chrono::milliseconds max_idle_time) const;
   /// Keeps an idle connection for at most `lifetime`.
-  void Put(upstream_handle upstream,
-           std::unique_ptr<tcp_stream> stream,
-           std::chrono::milliseconds lifetime);
+  void Put(upstream_handle upstream, idle_stream idle, std::chrono::milliseconds lifetime);
   /// Closes connections whose lifetime has ended, and those to upstreams that are gone.
   void Sweep(const std::function<bool(upstream_handle)>& is_known);
   std::size_t Size() const;
 
  private:
   struct idle_connection {
-    std::unique_ptr<tcp_stream> stream;
+    idle_stream idle;
     steady_time since;
     steady_time until;
     std::uint64_t id = 0;
@@ -100,6 +106,11 @@
 class upstream_call : public std::enable_shared_from_this<upstream_call> {
  public:
   struct events {
+    /// Called once the connection is established. If it returns false, nothing is sent.
+    std::function<bool()> may_send;
+    /// Called for each response head that the addressed incarnation has certainly sent, including
+    /// those that are not passed to `on_head`.
+    std::function<void(const answer_head&)> on_own_head;
     std::function<void()> on_sent;  ///< Connected, and the request head is written.
     std::function<void(const answer_head&)> on_head;
     std::function<void(std::string_view)> on_body;
@@ -141,6 +152,7 @@
   void SendHead();
   void OnBytes(std::string_view bytes);
   void OnHead(const answer_head& head);
+  bool IsOwnHead(const answer_head& head, const std::string* id) const;
   void OnBody(std::string_view part);
   void OnClosed(stream_end end);
   void OnAnswerComplete();
@@ -156,6 +168,7 @@
   events events_;
   std::unique_ptr<tcp_stream> stream_;
   std::unique_ptr<answer_reader> reader_;
+  std::string earlier_attempt_id_;  ///< Of the previous request on a reused connection.
   std::string incoming_;
   std::string unsent_body_;
   answer_head head_;
--- a/tests/support/serving_fixture.cpp
+++ b/tests/support/serving_fixture.cpp
@@ -97,6 +97,10 @@
     if (request.core_incarnation != reply.core_incarnation) {
       reply.data_centre = data_centre_;
     }
+    reply.conditions_revision = conditions_revision_;
+    if (request.conditions_revision < conditions_revision_) {
+      reply.conditions = conditions_;
+    }
     reply.limits_revision = limits_revision_;
     if (request.limits_revision < limits_revision_) {
       reply.limits = {limits_};
@@ -137,6 +141,17 @@
   }
 }
 
+void fake_core::SetCondition(const std::string& id, upstream_condition condition) {
+  const std::lock_guard guard(lock_);
+  for (const upstream_entry& entry : state_.upstreams) {
+    if (entry.id == id) {
+      condition.upstream = entry.handle;
+      conditions_.push_back(condition);
+    }
+  }
+  ++conditions_revision_;
+}
+
 void fake_core::SetLimits(shared_limits limits) {
   const std::lock_guard guard(lock_);
   limits_ = std::move(limits);
--- a/tests/support/serving_fixture.h
+++ b/tests/support/serving_fixture.h
@@ -28,6 +28,8 @@
                    const std::string& data_centre = "dc1");
   /// Marks an upstream as draining.
   void Drain(const std::string& id);
+  /// Sets the condition of an upstream as derived from the outcomes of all VMs.
+  void SetCondition(const std::string& id, upstream_condition condition);
   void SetLimits(shared_limits limits);
   void SetPolicy(std::string document, std::uint64_t version);
   /// Sets the core VMs that are named to entry VMs.
@@ -45,6 +47,8 @@
   fleet_changes state_;
   shared_limits limits_;
   std::uint64_t limits_revision_ = 1;
+  std::vector<upstream_condition> conditions_;
+  std::uint64_t conditions_revision_ = 0;
   observations observations_;
   std::vector<std::string> cores_;
   std::string data_centre_;
