--- a/tests/unit/serving/upstream_statements_flow_test.cpp
+++ b/tests/unit/serving/upstream_statements_flow_test.cpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace corianderhoist {
 namespace {
@@ -310,5 +311,61 @@
                            address.Requests().back().Header("X-Expect-Instance"));
     });
 
+const test_table kSpreadOfCallers(
+    "upstream statement",
+    "callers that are refused together are not told to come back together",
+    [] {
+      serving_fixture fixture;
+      fixture.Add("u1", "orders", Answers(503, kNotExecuted + "Retry-After: 30\r\n"));
+      fixture.Add("u2", "orders", Answers(503, kNotExecuted + "Retry-After: 20\r\n"));
+      fixture.Start();
+      std::vector<double> told;
+      for (int i = 0; i < 8; ++i) {
+        const caller_answer answer =
+            fixture.Call({.path = "/once/1", .id = "id" + std::to_string(i)});
+        CPPUNIT_ASSERT_EQUAL(503, answer.status);
+        told.push_back(std::stod(answer.Header("Retry-After")));
+      }
+      const auto [first, last] = std::minmax_element(told.begin(), told.end());
+      CPPUNIT_ASSERT_MESSAGE("from when the first one returns", *first > 19 && *last < 29);
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(*last - *first), *last - *first > 0.5);
+    });
+
+const test_table kHalfClosed(
+    "upstream statement",
+    "the others serve a burst while half of the upstreams accept no requests",
+    [] {
+      serving_fixture fixture;
+      const script closed = Answers(503, kNotExecuted + "Retry-After: 30\r\n");
+      scripted_upstream& first_closed = fixture.Add("u1", "reads", closed);
+      scripted_upstream& second_closed = fixture.Add("u2", "reads", closed);
+      fixture.Add("u3", "reads", Answers(200));
+      fixture.Add("u4", "reads", Answers(200));
+      fixture.Start();
+      constexpr std::size_t kCallers = 8;
+      std::atomic<int> served = 0;
+      const auto burst = [&] {
+        std::vector<std::thread> callers;
+        for (std::size_t i = 0; i < kCallers; ++i) {
+          callers.emplace_back([&, i] {
+            for (int j = 0; j < 10; ++j) {
+              const std::string id = "id" + std::to_string(i) + "-" + std::to_string(j);
+              served += fixture.Call({.id = id}).status == 200 ? 1 : 0;
+            }
+          });
+        }
+        for (std::thread& caller : callers) {
+          caller.join();
+        }
+      };
+      burst();
+      const std::size_t before = first_closed.Requests().size() + second_closed.Requests().size();
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(before), before <= 2 * kCallers);
+      burst();
+      CPPUNIT_ASSERT_EQUAL(before,
+                           first_closed.Requests().size() + second_closed.Requests().size());
+      CPPUNIT_ASSERT_EQUAL(static_cast<int>(2 * 10 * kCallers), served.load());
+    });
+
 }  // namespace
 }  // namespace corianderhoist
