--- a/src/serving/upstream_call.cpp
+++ b/src/serving/upstream_call.cpp
@@ -237,6 +237,11 @@
     Finish(call_result::kNotConnected, "no time left to send the request");
     return;
   }
+  // The upstream may have stated while the connection was being established that it leaves.
+  if (events_.may_send && !events_.may_send()) {
+    Finish(call_result::kWithheld, "the upstream accepts no requests");
+    return;
+  }
   std::string text = plan_.request_line + " HTTP/1.1\r\n";
   for (const header_field& field : plan_.headers) {
     text += field.name + ": " + field.value + "\r\n";
@@ -326,6 +331,9 @@
   const std::string* id = FindHeader(head.headers, header_names_.attempt_id);
   const bool is_ambiguous = IsAmbiguous(head.headers, header_names_.attempt_id);
   is_other_request_ = id != nullptr && *id != plan_.attempt_id && !is_ambiguous;
+  if (events_.on_own_head && !is_ambiguous && IsOwnHead(head, id)) {
+    events_.on_own_head(head);
+  }
   if (is_other_request_) {
     return;
   }
@@ -363,6 +371,18 @@
   }
 }
 
+// The process at the other end of the connection can be another incarnation, which says so by its
+// status. Responses without the id of a request of this connection may be stray bytes.
+bool upstream_call::IsOwnHead(const answer_head& head, const std::string* id) const {
+  if (head.status == kMisdirectedRequestStatus) {
+    return false;
+  }
+  if (is_other_request_) {
+    return std::find(sent_ids_.begin(), sent_ids_.end(), FastHash(*id)) != sent_ids_.end();
+  }
+  return id != nullptr || !is_reused_ || plan_.attempt_id.empty();
+}
+
 void upstream_call::OnAnswerComplete() {
   is_keep_alive_ = reader_->IsKeepAlive();
   if (is_other_request_) {
--- a/src/serving/upstream_call.h
+++ b/src/serving/upstream_call.h
@@ -7,6 +7,7 @@
 #include "http/answer_reader.h"
 #include "http/message.h"
 #include "net/tcp_stream.h"
+#include "serving/upstream_statements.h"
 
 #include <chrono>
 #include <cstdint>
@@ -28,12 +29,14 @@
   std::string workspace;     ///< Workspace that the key of the request belongs to.
   std::string not_executed;  ///< In a response: the upstream did not run the request.
   std::string signature;     ///< In a response: proves that the upstream produced it.
+  statement_header_names statements;
 };
 
 /// The result of an attempt.
 enum class call_result : std::uint8_t {
   kAnswered,       ///< A complete, valid response of the upstream.
   kNotConnected,   ///< Nothing was sent.
+  kWithheld,       ///< Nothing was sent: the upstream no longer accepts requests.
   kNotExecuted,    ///< The upstream states that it did not run the request.
   kWrongInstance,  ///< Another incarnation responded and did not run it.
   kLost,           ///< The connection ended without a response; the request may have run.
@@ -42,8 +45,8 @@
 
 /// Whether it is certain that the request has not run and will not run.
 inline bool IsNotRun(call_result result) {
-  return result == call_result::kNotConnected || result == call_result::kNotExecuted ||
-         result == call_result::kWrongInstance;
+  return result == call_result::kNotConnected || result == call_result::kWithheld ||
+         result == call_result::kNotExecuted || result == call_result::kWrongInstance;
 }
 
 /// A connection and the requests that were sent on it.
@@ -111,6 +114,11 @@
 class upstream_call : public std::enable_shared_from_this<upstream_call> {
  public:
   struct events {
+    /// Called once the connection is established. If it returns false, nothing is sent.
+    std::function<bool()> may_send;
+    /// Called for each response head that the addressed incarnation has certainly sent, including
+    /// those that are not passed to `on_head`.
+    std::function<void(const answer_head&)> on_own_head;
     std::function<void()> on_sent;  ///< Connected, and the request head is written.
     std::function<void(const answer_head&)> on_head;
     std::function<void(std::string_view)> on_body;
@@ -152,6 +160,7 @@
   void SendHead();
   void OnBytes(std::string_view bytes);
   void OnHead(const answer_head& head);
+  bool IsOwnHead(const answer_head& head, const std::string* id) const;
   void OnBody(std::string_view part);
   void OnClosed(stream_end end);
   void OnAnswerComplete();
