--- a/tests/unit/serving/upstream_statements_flow_test.cpp
+++ b/tests/unit/serving/upstream_statements_flow_test.cpp
@@ -342,13 +342,15 @@
       fixture.Add("u3", "reads", Answers(200));
       fixture.Add("u4", "reads", Answers(200));
       fixture.Start();
-      constexpr std::size_t kCallers = 8;
+      constexpr int kCallers = 8;
+      constexpr int kRequestsPerCaller = 10;
       std::atomic<int> served = 0;
       const auto burst = [&] {
         std::vector<std::thread> callers;
-        for (std::size_t i = 0; i < kCallers; ++i) {
+        callers.reserve(kCallers);
+        for (int i = 0; i < kCallers; ++i) {
           callers.emplace_back([&, i] {
-            for (int j = 0; j < 10; ++j) {
+            for (int j = 0; j < kRequestsPerCaller; ++j) {
               const std::string id = "id" + std::to_string(i) + "-" + std::to_string(j);
               served += fixture.Call({.id = id}).status == 200 ? 1 : 0;
             }
@@ -360,11 +362,11 @@
       };
       burst();
       const std::size_t before = first_closed.Requests().size() + second_closed.Requests().size();
-      CPPUNIT_ASSERT_MESSAGE(std::to_string(before), before <= 2 * kCallers);
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(before), before <= std::size_t(2) * kCallers);
       burst();
       CPPUNIT_ASSERT_EQUAL(before,
                            first_closed.Requests().size() + second_closed.Requests().size());
-      CPPUNIT_ASSERT_EQUAL(static_cast<int>(2 * 10 * kCallers), served.load());
+      CPPUNIT_ASSERT_EQUAL(2 * kRequestsPerCaller * kCallers, served.load());
     });
 
 }  // namespace
