Send the RPC answers that have been given before a server closes

Callers saw: a call that a stopping VM had carried out, or refused at its stop, ended with 'unreachable' instead of its answer, so the outcome of a change was unknown to them.

Cause: rpc_server::Close destroyed the sockets with the answers still in their buffers.

Fix: Close stops handling calls, sends the answers that have been given, for at most one second, and then closes.

Evidence: test 'rpc answer given shortly before the server closes arrives'. Calls without an answer at that time still end as unreachable.

--- a/src/wire/http2_session.cpp
+++ b/src/wire/http2_session.cpp
@@ -1,5 +1,7 @@
 #include "wire/http2_session.h"
 
+#include <QSslSocket>
+
 #include <algorithm>
 #include <array>
 #include <cassert>
@@ -218,6 +220,16 @@
   }
 }
 
+bool http2_session::HasUnsent() const {
+  const auto* encrypted = qobject_cast<const QSslSocket*>(&socket_);
+  const bool is_socket_pending = socket_.bytesToWrite() > 0 ||
+                                 (encrypted != nullptr && encrypted->encryptedBytesToWrite() > 0);
+  return !has_failed_ && (is_socket_pending ||
+                          std::any_of(streams_.begin(), streams_.end(), [](const auto& stream) {
+                            return stream.second.sent < stream.second.outgoing.size();
+                          }));
+}
+
 void http2_session::HandleSessionError(const std::string& cause) {
   if (std::exchange(has_failed_, true)) {
     return;
--- a/src/wire/http2_session.h
+++ b/src/wire/http2_session.h
@@ -38,6 +38,8 @@
   std::int32_t SubmitRequest(const std::string& path, std::string body);
   /// Server: submits the answer of a stream. Does nothing if the stream no longer exists.
   void SubmitAnswer(std::int32_t stream, int status, std::string body);
+  /// Whether part of a submitted message has not been passed to the kernel.
+  bool HasUnsent() const;
   /// Number of bytes received so far. If it does not increase, the connection may be lost.
   std::uint64_t ReceivedBytes() const { return received_bytes_; }
   /// Resets a stream whose result is no longer needed.
--- a/src/wire/rpc.h
+++ b/src/wire/rpc.h
@@ -88,7 +88,8 @@
 
   /// Opens the port and returns it. Fails with `kUnreachable`.
   result<std::uint16_t> Listen(const endpoint& address);
-  /// Closes the port and all connections.
+  /// Closes the port, sends the answers that have been given, for at most one second, and closes
+  /// all connections. Calls that arrive meanwhile are not handled.
   void Close();
 
  private:
--- a/src/wire/rpc_server.cpp
+++ b/src/wire/rpc_server.cpp
@@ -1,3 +1,4 @@
+#include "base/clock.h"
 #include "base/log.h"
 #include "wire/http2_session.h"
 #include "wire/rpc.h"
@@ -7,12 +8,16 @@
 #include <QSslError>
 
 #include <cassert>
+#include <chrono>
+#include <thread>
 
 namespace corianderhoist {
 namespace {
 
 constexpr std::string_view kPathPrefix = "/v1/";
 constexpr std::chrono::seconds kHandshakeTimeout(5);
+constexpr std::chrono::milliseconds kCloseTimeout(1000);
+constexpr std::chrono::milliseconds kClosePollInterval(2);
 constexpr int kStatusOk = 200;
 constexpr int kStatusCallFailed = 500;
 
@@ -70,6 +75,10 @@
     });
   }
 
+  /// No further call is handled.
+  void StopReceiving() { is_receiving_ = false; }
+  bool HasUnsent() const { return session_ && session_->HasUnsent(); }
+
  private:
   void StartSession() {
     session_ = std::make_unique<http2_session>(
@@ -82,6 +91,9 @@
   }
 
   void Dispatch(std::int32_t stream, const std::string& path, const std::string& body) {
+    if (!is_receiving_) {
+      return;
+    }
     auto respond = [&loop = loop_, weak = weak_from_this(), stream](rpc_result<std::string> reply) {
       loop.Post([weak, stream, reply = std::move(reply)]() mutable {
         if (const auto self = weak.lock()) {
@@ -140,6 +152,7 @@
   std::unique_ptr<http2_session> session_;
   rpc_context context_;
   bool is_plain_ = false;
+  bool is_receiving_ = true;
   bool is_closed_ = false;
 };
 
@@ -195,7 +208,22 @@
 
 void rpc_server::Close() {
   state_->acceptor.Close();
+  const auto deadline = SystemClock().Now() + kCloseTimeout;
   for (const auto& each : state_->workers) {
+    const auto has_unsent = [&each] {
+      bool is_unsent = false;
+      // Runs after the answers that were given before, which are posted to the same loop.
+      each->loop.RunAndWait([&] {
+        for (const auto& [key, connection] : each->connections) {
+          connection->StopReceiving();
+          is_unsent |= connection->HasUnsent();
+        }
+      });
+      return is_unsent;
+    };
+    while (has_unsent() && SystemClock().Now() < deadline) {
+      std::this_thread::sleep_for(kClosePollInterval);
+    }
     each->loop.RunAndWait([&each] { each->connections.clear(); });
   }
 }
--- a/tests/unit/wire/rpc_test.cpp
+++ b/tests/unit/wire/rpc_test.cpp
@@ -4,8 +4,13 @@
 #include "support/test_certificate_authority.h"
 #include "support/test_table.h"
 
+#include <algorithm>
+#include <atomic>
 #include <future>
+#include <mutex>
+#include <random>
 #include <thread>
+#include <vector>
 
 namespace corianderhoist {
 namespace {
@@ -195,6 +200,60 @@
   CPPUNIT_ASSERT(is_answered);
 });
 
+struct close_case {
+  std::string name;
+  std::size_t answer_bytes;
+};
+
+// Guards against an outcome that the caller of a stopping VM never learns.
+const test_table kClose("rpc answer given shortly before the server closes arrives",
+                        std::vector<close_case>{{"small", 10}, {"of 8 MB", 8'000'000}},
+                        std::function([](const close_case& row) {
+                          constexpr std::size_t kCalls = 20;
+                          test_certificate_authority keys;
+                          io_loop loop("client");
+                          rpc_server server(keys.Identity("coordinator", "server-1"), 2);
+                          std::mutex lock;
+                          std::vector<rpc_callback<number>> waiting;
+                          server.Handle<number, number>(
+                              "wait", {"entry"},
+                              [&](const rpc_context&, number, const rpc_callback<number>& reply) {
+                                const std::lock_guard guard(lock);
+                                waiting.push_back(reply);
+                              });
+                          const auto port = Expect([&] { return server.Listen({"127.0.0.1", 0}); });
+                          rpc_channel channel(loop, keys.Identity("entry", "client-1"),
+                                              {"127.0.0.1", port}, "server-1");
+                          std::atomic<std::size_t> answered = 0;
+                          std::atomic<std::size_t> ended = 0;
+                          for (std::size_t i = 0; i < kCalls; ++i) {
+                            channel.Call<number>(
+                                "wait", number{}, kTimeout, [&](const rpc_result<number>& reply) {
+                                  answered += std::holds_alternative<number>(reply);
+                                  ++ended;
+                                });
+                          }
+                          const auto is_waiting = [&] {
+                            const std::lock_guard guard(lock);
+                            return waiting.size() == kCalls;
+                          };
+                          while (!is_waiting()) {
+                            std::this_thread::sleep_for(milliseconds(1));
+                          }
+                          std::mt19937 random(1);
+                          std::string text(row.answer_bytes, ' ');
+                          std::generate(text.begin(), text.end(), [&] { return char(random()); });
+                          const std::size_t answers = row.answer_bytes > 1000 ? 1 : kCalls;
+                          for (std::size_t i = 0; i < answers; ++i) {
+                            waiting[i](number{1, text});
+                          }
+                          server.Close();
+                          while (ended < kCalls) {
+                            std::this_thread::sleep_for(milliseconds(1));
+                          }
+                          CPPUNIT_ASSERT_EQUAL(answers, answered.load());
+                        }));
+
 const test_table kReconnect("rpc", "a call after a server restart reaches the new process", [] {
   echo_fixture fixture;
   rpc_channel channel = fixture.Channel(fixture.keys.Identity("entry", "client-1"));
