Ask for more certainty of a request that comes late in a shutdown

Its answer was likely to come in time, which is too little once the load balancer's delay has passed: few callers should still come, and other VMs can serve them.

Fix: answer_time gives two estimates. Before the delay the likely time decides (mean and two deviations, at most the objective), afterwards the time of nearly all answers (four deviations; without any answer the whole limit).

--- a/src/entry/proxied_request.cpp
+++ b/src/entry/proxied_request.cpp
@@ -111,8 +111,9 @@
   }
   const milliseconds unknown = routed_.route->timeout;
   const auto known = worker_.answer_times.find(routed_.route->Id());
-  const milliseconds expected =
-      known == worker_.answer_times.end() ? unknown : known->second.Likely(unknown);
+  const answer_estimate expected = known == worker_.answer_times.end()
+                                       ? answer_estimate{unknown, unknown}
+                                       : known->second.Estimate(unknown, unknown);
   return worker_.drain.MayStart(context_.clock.Now(), deadline_, expected);
 }
 
--- a/src/http/answer_time.h
+++ b/src/http/answer_time.h
@@ -7,6 +7,12 @@
 
 namespace corianderhoist {
 
+/// The times from the arrival of a request to its answer that its route suggests.
+struct answer_estimate {
+  std::chrono::milliseconds likely{};      ///< For about nine of ten answers.
+  std::chrono::milliseconds nearly_all{};  ///< For all but rare ones.
+};
+
 /// Smoothed mean and mean deviation, as in RFC 6298: follows a change within a few answers.
 class answer_time {
  public:
@@ -22,19 +28,26 @@
     *mean_ += (taken - *mean_) / kMeanSmoothing;
   }
 
-  /// Returns the time in which about nine of ten answers come, at most `bound`, which is also the
-  /// estimate without any answer.
-  std::chrono::milliseconds Likely(std::chrono::milliseconds bound) const {
-    return mean_ ? std::min(std::chrono::ceil<std::chrono::milliseconds>(*mean_ +
-                                                                         kDeviations * deviation_),
-                            bound)
-                 : bound;
+  /// `objective` and `limit` are those of the route. They bound the estimates, and stand for them
+  /// without any answer.
+  answer_estimate Estimate(std::chrono::milliseconds objective,
+                           std::chrono::milliseconds limit) const {
+    if (!mean_) {
+      return {objective, limit};
+    }
+    return {std::min(WithDeviations(kLikelyDeviations), objective),
+            std::min(WithDeviations(kNearlyAllDeviations), limit)};
   }
 
  private:
   static constexpr int kMeanSmoothing = 8;
   static constexpr int kDeviationSmoothing = 4;
-  static constexpr int kDeviations = 2;
+  static constexpr int kLikelyDeviations = 2;
+  static constexpr int kNearlyAllDeviations = 4;
+
+  std::chrono::milliseconds WithDeviations(int count) const {
+    return std::chrono::ceil<std::chrono::milliseconds>(*mean_ + count * deviation_);
+  }
 
   std::optional<std::chrono::microseconds> mean_;
   std::chrono::microseconds deviation_{};
--- a/src/http/drain_schedule.cpp
+++ b/src/http/drain_schedule.cpp
@@ -18,12 +18,16 @@
   return started_ ? std::chrono::duration_cast<milliseconds>(time - *started_) : milliseconds(-1);
 }
 
-bool drain_schedule::MayStart(steady_time now, steady_time deadline, milliseconds expected) const {
+bool drain_schedule::MayStart(steady_time now,
+                              steady_time deadline,
+                              const answer_estimate& expected) const {
   if (!started_) {
     return true;
   }
-  // Any other request is better served by another VM.
-  return deadline <= UpstreamEnd() || now + expected <= UpstreamEnd();
+  // Any other request is better served by another VM. After the delay, few callers should still
+  // come.
+  const milliseconds time = IsClosingIdleConnections(now) ? expected.nearly_all : expected.likely;
+  return deadline <= UpstreamEnd() || now + time <= UpstreamEnd();
 }
 
 steady_time drain_schedule::AnswerEnd() const {
--- a/src/http/drain_schedule.h
+++ b/src/http/drain_schedule.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "http/answer_time.h"
 
 #include <algorithm>
 #include <chrono>
@@ -35,8 +36,8 @@
   std::chrono::milliseconds ElapsedAt(steady_time time) const;
 
   /// Whether a request that has not been sent to an upstream may still be sent. `deadline` is that
-  /// of the request, `expected` the time in which its answer is likely.
-  bool MayStart(steady_time now, steady_time deadline, std::chrono::milliseconds expected) const;
+  /// of the request, `expected` the estimate of its route.
+  bool MayStart(steady_time now, steady_time deadline, const answer_estimate& expected) const;
   /// Returns the time until which an upstream may work on a request with this deadline.
   steady_time UpstreamDeadline(steady_time deadline) const;
   /// Returns the time by which a request with this deadline has to be answered.
--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -197,10 +197,11 @@
 }
 
 bool request_flow::MayStart() const {
+  const auto limit = duration_cast<milliseconds>(deadline_ - arrived_);
   const auto known = context_.answer_times.find(route_->name);
-  const milliseconds expected = known == context_.answer_times.end()
-                                    ? route_->objective
-                                    : known->second.Likely(route_->objective);
+  const answer_estimate expected = known == context_.answer_times.end()
+                                       ? answer_estimate{route_->objective, limit}
+                                       : known->second.Estimate(route_->objective, limit);
   return context_.drain.MayStart(context_.clock.Now(), deadline_, expected);
 }
 
--- a/tests/process/drain_test.cpp
+++ b/tests/process/drain_test.cpp
@@ -100,7 +100,7 @@
   options.service_ms = 2500;
   entry_fixture fixture(options);
   http_reply reply;
-  std::thread caller([&] { reply = fixture.Post("/orders", "x", "order-1"); });
+  std::jthread caller([&] { reply = fixture.Post("/orders", "x", "order-1"); });
   WaitUntilOrThrow("the upstream runs the order", [&] { return fixture.TotalExecutions() == 1; });
   fixture.Entry().SendSignal(SIGTERM);
   CPPUNIT_ASSERT_EQUAL(0, fixture.Entry().WaitForEnd());
@@ -129,7 +129,7 @@
         return true;
       });
   http_reply reply;
-  std::thread caller([&] { reply = fixture.Get("/orders/1"); });
+  std::jthread caller([&] { reply = fixture.Get("/orders/1"); });
   WaitUntilOrThrow("the request is queued", [&] { return asked > 0; });
   fixture.Entry().SendSignal(SIGTERM);
   std::this_thread::sleep_for(milliseconds(1300));  // Longer than the drain delay.
@@ -153,7 +153,7 @@
   options.settings["drain_deadline"] = "1500ms";
   entry_fixture fixture(options);
   http_reply reply;
-  std::thread caller([&] { reply = fixture.Post("/orders", "x", "order-1"); });
+  std::jthread caller([&] { reply = fixture.Post("/orders", "x", "order-1"); });
   WaitUntilOrThrow("the upstream runs the order", [&] { return fixture.TotalExecutions() == 1; });
   fixture.Entry().SendSignal(SIGTERM);
   CPPUNIT_ASSERT_EQUAL(3, fixture.Entry().WaitForEnd());
@@ -167,7 +167,7 @@
   options.service_ms = 2900;
   entry_fixture fixture(options);
   http_reply reply;
-  std::thread caller([&] { reply = fixture.Post("/orders", "x", "order-1"); });
+  std::jthread caller([&] { reply = fixture.Post("/orders", "x", "order-1"); });
   WaitUntilOrThrow("the upstream runs the order", [&] { return fixture.TotalExecutions() == 1; });
   fixture.Entry().SendSignal(SIGTERM);
   WaitUntilOrThrow("the drain has begun", [&] {
--- a/tests/unit/serving/stop_test.cpp
+++ b/tests/unit/serving/stop_test.cpp
@@ -144,7 +144,8 @@
   std::string name;
   milliseconds elapsed;  ///< Since the start of the drain.
   milliseconds limit;    ///< Time limit of the request.
-  milliseconds expected;
+  milliseconds likely;
+  milliseconds nearly_all;
   bool may_start;
 };
 
@@ -152,26 +153,29 @@
 const test_table kMayStart(
     "request during a drain of 6 s",
     std::vector<schedule_case>{
-        {"that fits is started", milliseconds(0), milliseconds(4000), milliseconds(2000), true},
+        {"that fits is started", milliseconds(0), milliseconds(4000), milliseconds(2000),
+         milliseconds(4000), true},
         {"that fits is started while others close", milliseconds(3000), milliseconds(2000),
-         milliseconds(1500), true},
-        {"that is expected to fit is started", milliseconds(1900), milliseconds(8000),
-         milliseconds(2500), true},
-        {"that is not expected to fit is refused", milliseconds(1900), milliseconds(8000),
-         milliseconds(4000), false},
-        {"that is expected to fit is started while others close", milliseconds(4000),
-         milliseconds(8000), milliseconds(1500), true},
-        {"that is not expected to fit is refused while others close", milliseconds(4300),
-         milliseconds(8000), milliseconds(1500), false},
-        {"at the end is refused", milliseconds(5900), milliseconds(200), milliseconds(10), false},
+         milliseconds(1500), milliseconds(2000), true},
+        {"that is likely to fit is started", milliseconds(1900), milliseconds(8000),
+         milliseconds(2500), milliseconds(8000), true},
+        {"that is not likely to fit is refused", milliseconds(1900), milliseconds(8000),
+         milliseconds(4000), milliseconds(8000), false},
+        {"that is nearly certain to fit is started while others close", milliseconds(4000),
+         milliseconds(8000), milliseconds(500), milliseconds(1500), true},
+        {"that is only likely to fit is refused while others close", milliseconds(4000),
+         milliseconds(8000), milliseconds(500), milliseconds(2000), false},
+        {"at the end is refused", milliseconds(5900), milliseconds(200), milliseconds(10),
+         milliseconds(10), false},
     },
     std::function([](const schedule_case& row) {
       const steady_time start(std::chrono::hours(1));
       drain_schedule drain({milliseconds(2000), milliseconds(6000)});
       const steady_time now = start + row.elapsed;
-      CPPUNIT_ASSERT(drain.MayStart(now, now + row.limit, row.expected));
+      CPPUNIT_ASSERT(drain.MayStart(now, now + row.limit, {row.likely, row.nearly_all}));
       drain.Begin(start);
-      CPPUNIT_ASSERT_EQUAL(row.may_start, drain.MayStart(now, now + row.limit, row.expected));
+      CPPUNIT_ASSERT_EQUAL(row.may_start,
+                           drain.MayStart(now, now + row.limit, {row.likely, row.nearly_all}));
     }));
 
 struct answer_time_case {
@@ -196,7 +200,10 @@
       for (const int taken : row.taken_ms) {
         time.Add(milliseconds(taken));
       }
-      const milliseconds likely = time.Likely(milliseconds(1700));
+      const answer_estimate estimate = time.Estimate(milliseconds(1700), milliseconds(5000));
+      const milliseconds likely = estimate.likely;
+      CPPUNIT_ASSERT(likely <= estimate.nearly_all);
+      CPPUNIT_ASSERT(estimate.nearly_all <= milliseconds(5000));
       CPPUNIT_ASSERT_MESSAGE(std::to_string(likely.count()), likely >= milliseconds(row.least_ms));
       CPPUNIT_ASSERT(likely <= milliseconds(row.most_ms));
     }));
@@ -222,10 +229,13 @@
         CPPUNIT_ASSERT(drain.AnswerDeadline(deadline) <= deadline);
         CPPUNIT_ASSERT(drain.AnswerDeadline(deadline) < end);
         CPPUNIT_ASSERT(!drain.IsOver(end - milliseconds(1)) && drain.IsOver(end));
-        const milliseconds expected = draw(3000);
+        const answer_estimate expected{draw(3000), draw(6000)};
         if (drain.MayStart(now, deadline, expected)) {
           CPPUNIT_ASSERT(drain.UpstreamDeadline(deadline) >= now);
-          CPPUNIT_ASSERT(drain.UpstreamDeadline(deadline) >= std::min(deadline, now + expected));
+          CPPUNIT_ASSERT(
+              drain.UpstreamDeadline(deadline) >=
+              std::min(deadline, now + (drain.IsClosingIdleConnections(now) ? expected.nearly_all
+                                                                            : expected.likely)));
         }
       }
     });
