--- a/src/wire/tcp_acceptor.cpp
+++ b/src/wire/tcp_acceptor.cpp
@@ -26,6 +26,7 @@
                                       BPF_STMT(BPF_RET | BPF_K, 0),
                                       BPF_STMT(BPF_RET | BPF_K, 0xFFFFFFFF)}};
   const sock_fprog filter{code.size(), code.data()};
+  // Without the filter, only connections that are established meanwhile are reset.
   ::setsockopt(listening, SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter));
 }
 
--- a/tests/unit/serving/stop_test.cpp
+++ b/tests/unit/serving/stop_test.cpp
@@ -525,6 +525,7 @@
   }
   fixture.Start();
   std::vector<std::thread> callers;
+  callers.reserve(kCallers);
   std::atomic<int> served = 0;
   for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back(
