Failing test: VMs that are cut off exceed a rate together with the others

What callers saw: a workspace got more than its limit (QUOTA) while entry VMs were out of contact with the core VMs.

--- a/tests/unit/serving/limit_schedule_test.cpp
+++ b/tests/unit/serving/limit_schedule_test.cpp
@@ -1,6 +1,7 @@
 // Seeded schedules of a rate limit shared by many VMs: steps in demand, unevenly distributed
-// callers, loss of the core VMs and restarts of entry VMs. The limit must hold in every window over
-// all VMs, and a workspace well below it must not be refused while core VMs reply.
+// callers, loss of the core VMs, restarts of entry VMs and entry VMs that are cut off. The limit
+// must hold in every window over all VMs, and a workspace well below it must not be refused while
+// core VMs reply.
 #include "fleet/usage_ledger.h"
 #include "serving/admission.h"
 #include "support/test_table.h"
@@ -20,6 +21,9 @@
 constexpr milliseconds kWatchInterval(100);
 constexpr milliseconds kOneWayDelay(60);
 constexpr milliseconds kMinTimeBetweenSteps(1000);
+// An entry VM admits no requests with a key for longer than this without a reply.
+constexpr milliseconds kLease(4700);
+constexpr milliseconds kMaxCountAge(5000);
 constexpr std::size_t kVms = 24;
 constexpr rate_tolerance kTolerance{milliseconds(5000), 0.1, 20};
 constexpr workspace_rate kLimit{40, 40};
@@ -35,25 +39,34 @@
 
 // The rate limiting state of an entry VM.
 struct vm {
-  explicit vm(const clock_source& clock)
-      : view(DecodeRateOnly), admission_control({}, view, clock) {
+  vm(const clock_source& clock, std::uint64_t number_of_vm)
+      : number(number_of_vm), view(DecodeRateOnly), admission_control({}, view, clock) {
     watch_reply reply;
     reply.changes.index = 1;
     reply.changes.policy = {1, PackText("1")};
     view.Apply(reply, clock.Now(), clock.Now() - milliseconds(60'000));
   }
+  const std::uint64_t number;
   fleet_view view;
   admission admission_control;
-  double weight = 1;  // Relative share of the callers.
-  std::uint64_t admitted = 0;
-  std::uint64_t refused = 0;
+  struct counts {
+    steady_time since;
+    std::uint64_t admitted = 0;
+    std::uint64_t refused = 0;
+  };
+  double weight = 1;           // Relative share of the callers.
+  steady_time cut_until{};     // Reaches no core VM before that.
+  steady_time replied_at{};    // Last reply of a core VM.
+  std::vector<counts> unsent;  // By report interval.
 };
 
+enum class vm_cuts { kNone, kUnderLoad };
+
 class limit_schedule {
  public:
-  explicit limit_schedule(std::uint64_t seed) : random_(seed) {
+  limit_schedule(std::uint64_t seed, vm_cuts cuts) : random_(seed), cuts_(cuts) {
     for (std::size_t i = 0; i < kVms; ++i) {
-      vms_.push_back(std::make_unique<vm>(clock_));
+      vms_.push_back(std::make_unique<vm>(clock_, i));
       vms_.back()->weight = random_() % 3 == 0 ? 3 : 1;
     }
     started_ = clock_.Now();
@@ -95,11 +108,21 @@
       ledger_started_ = core_up_at_;
       last_change_ = core_up_at_;
     }
+    if (cuts_ == vm_cuts::kUnderLoad && IsOneIn(500) && now - last_cut_ > 2 * kTolerance.window) {
+      last_cut_ = now;
+      const auto parts = 2 + random_() % 3;
+      const steady_time until = now + milliseconds(2000 + random_() % 4000);
+      for (const auto& each : vms_) {
+        each->cut_until = IsOneIn(static_cast<unsigned>(parts)) ? until : each->cut_until;
+      }
+    }
     if (IsOneIn(300)) {
       std::unique_ptr<vm>& lost = vms_[random_() % vms_.size()];
       const double weight = lost->weight;
-      lost = std::make_unique<vm>(clock_);
+      const steady_time cut_until = lost->cut_until;
+      lost = std::make_unique<vm>(clock_, lost->number);
       lost->weight = weight;
+      lost->cut_until = cut_until;
     }
   }
 
@@ -117,14 +140,22 @@
         drawn -= vms_[chosen++]->weight;
       }
       vm& serving = *vms_[chosen];
+      if (cuts_ != vm_cuts::kNone && Since(serving.replied_at) > kLease) {
+        continue;
+      }
+      if (serving.unsent.empty() || serving.unsent.back().since < last_report_) {
+        serving.unsent.push_back({clock_.Now(), 0, 0});
+      }
       if (serving.admission_control.TakeRate(serving.view.Policy()->Policy().workspaces[0])) {
-        ++serving.admitted;
+        ++serving.unsent.back().admitted;
         admitted_.push_back(clock_.Now());
       } else {
-        ++serving.refused;
+        ++serving.unsent.back().refused;
         // Once demand has been normal for two windows, no request may be refused.
         const bool is_steady = demand_factor_ == 1 && Since(last_change_) > 2 * kTolerance.window;
-        wrongly_refused_ += is_steady && IsCoreUp() && serving.view.AreLimitsCurrent(clock_.Now());
+        const bool is_in_contact = IsCoreUp() && clock_.Now() >= serving.cut_until &&
+                                   serving.view.AreLimitsCurrent(clock_.Now());
+        wrongly_refused_ += is_steady && is_in_contact;
       }
     }
   }
@@ -133,16 +164,19 @@
     const steady_time now = clock_.Now();
     if (now - last_report_ >= kReportInterval) {
       last_report_ = now;
-      count_report report{now + kOneWayDelay, 0, 0};
       for (const auto& each : vms_) {
-        report.admitted += std::exchange(each->admitted, 0);
-        report.refused += std::exchange(each->refused, 0);
+        if (now >= each->cut_until) {
+          reports_.push_back({now + kOneWayDelay, NameOf(each), std::exchange(each->unsent, {})});
+        }
       }
-      reports_.push_back(report);
     }
     for (; !reports_.empty() && reports_.front().at <= now; reports_.pop_front()) {
-      if (IsCoreUp()) {  // Counts sent to a lost core VM are lost as well.
-        ledger_.CountWorkspace("a", reports_.front().admitted, reports_.front().refused, now);
+      for (const vm::counts& counts : reports_.front().counts) {
+        const bool is_late = now - counts.since > 4 * kOneWayDelay;
+        if (IsCoreUp() && now - counts.since < kMaxCountAge) {  // A lost core VM loses its counts.
+          const steady_time at = is_late ? counts.since : now;
+          ledger_.CountWorkspace("a", counts.admitted, counts.refused, at);
+        }
       }
     }
     if (IsCoreUp() && now - last_watch_ >= kWatchInterval) {
@@ -151,22 +185,24 @@
     }
     for (; !watches_.empty() && watches_.front().first <= now; watches_.pop_front()) {
       for (const auto& each : vms_) {
-        each->view.Apply(watches_.front().second, now - 2 * kOneWayDelay, now);
+        if (now >= each->cut_until) {
+          each->view.Apply(watches_.front().second, now - 2 * kOneWayDelay, now);
+          each->replied_at = now;
+        }
       }
     }
   }
 
-  watch_reply MakeReply() const {
+  watch_reply MakeReply() {
+    const steady_time now = clock_.Now();
     const workspace_usage usage = WithAssumedEarlierUsage(
-        ledger_.UsageOf("a", kTolerance, clock_.Now()), kLimit, kTolerance, Since(ledger_started_));
+        ledger_.UsageOf("a", kTolerance, now), kLimit, kTolerance, Since(ledger_started_));
     const double share = AdmittedShare(usage, kLimit, kTolerance);
     watch_reply reply;
     reply.changes.index = 1;
     shared_limits limits;
     limits.active_vms = kVms;
-    if (share < 1) {
-      limits.workspaces = {{"a", static_cast<std::uint32_t>(share * 1000)}};
-    }
+    limits.workspaces = {{"a", static_cast<std::uint32_t>(share * 1000)}};
     reply.limits = {limits};
     reply.is_counting = Since(ledger_started_) >= kMinCountingTime;
     return reply;
@@ -188,11 +224,16 @@
 
   struct count_report {
     steady_time at;
-    std::uint64_t admitted = 0;
-    std::uint64_t refused = 0;
+    std::string vm;
+    std::vector<vm::counts> counts;
   };
 
+  static std::string NameOf(const std::unique_ptr<vm>& each) {
+    return std::to_string(each->number);
+  }
+
   std::mt19937_64 random_;
+  const vm_cuts cuts_;
   manual_clock clock_;
   std::vector<std::unique_ptr<vm>> vms_;
   usage_ledger ledger_;
@@ -200,6 +241,7 @@
   steady_time ledger_started_;
   steady_time core_up_at_{};
   steady_time last_change_{};  // Of the demand or the core VMs.
+  steady_time last_cut_{};
   steady_time last_report_{};
   steady_time last_watch_{};
   double demand_factor_ = 1;
@@ -210,17 +252,30 @@
   int wrongly_refused_ = 0;
 };
 
-const test_table kSchedules("rate", "200 schedules (seeds 1 to 200)", [] {
-  std::string failed;
-  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
-    try {
-      limit_schedule(seed).Run();
-    } catch (const CppUnit::Exception& failure) {
-      failed += "seed " + std::to_string(seed) + ": " + failure.what() + "\n";
-    }
-  }
-  CPPUNIT_ASSERT_MESSAGE(failed, failed.empty());
-});
+struct schedule_case {
+  std::string name;
+  vm_cuts cuts;
+  std::uint64_t last_seed;
+};
+
+const test_table kSchedules(
+    "rate",
+    std::vector<schedule_case>{
+        {"200 schedules (seeds 1 to 200)", vm_cuts::kNone, 200},
+        {"entry VMs that are cut off do not exceed the rate with the others (seeds 1 to 200)",
+         vm_cuts::kUnderLoad, 200},
+    },
+    std::function([](const schedule_case& row) {
+      std::string failed;
+      for (std::uint64_t seed = 1; seed <= row.last_seed; ++seed) {
+        try {
+          limit_schedule(seed, row.cuts).Run();
+        } catch (const CppUnit::Exception& failure) {
+          failed += "seed " + std::to_string(seed) + ": " + failure.what() + "\n";
+        }
+      }
+      CPPUNIT_ASSERT_MESSAGE(failed, failed.empty());
+    }));
 
 }  // namespace
 }  // namespace corianderhoist
