--- a/src/fleet/fleet_core.cpp
+++ b/src/fleet/fleet_core.cpp
@@ -30,6 +30,19 @@
 constexpr milliseconds kMaxStateAgeForAnnouncements(2500);
 constexpr int kServerThreads = 1;
 
+// Longer than the interval at which core VMs of other regions send their counts.
+constexpr milliseconds kCoreSilence(1500);
+
+unreported_usage::limits PermissionsOf(const fleet_core_settings& settings) {
+  return {.window = settings.rates.window, .permission = settings.withdrawal_bound};
+}
+
+unreported_usage::limits PermissionsByCoresOf(const fleet_core_settings& settings) {
+  unreported_usage::limits made = PermissionsOf(settings);
+  made.silence = kCoreSilence;
+  return made;
+}
+
 std::uint64_t RandomIncarnation() {
   std::uint64_t life = 0;
   const std::string bytes = RandomBytes(sizeof(life));
@@ -49,12 +62,15 @@
     : settings_(std::move(settings)),
       decoder_(std::move(decoder)),
       clock_(clock),
-      started_at_(clock.Now()),
+      counting_started_at_(clock.Now()),
+      counting_since_(counting_started_at_),
       incarnation_(RandomIncarnation()),
       loop_("fleet"),
       server_(nullptr, kServerThreads),
       membership_(settings_.voters),
-      health_(settings_.announcement_interval, clock.Now()) {
+      health_(settings_.announcement_interval, clock.Now()),
+      unreported_by_vms_(PermissionsOf(settings_)),
+      unreported_by_cores_(PermissionsByCoresOf(settings_)) {
   versions_.incarnation = incarnation_;
 }
 
@@ -116,7 +132,12 @@
       "fleet.share", {},
       [this](const rpc_context&, share_request request, const rpc_callback<done_reply>& respond) {
         respond(done_reply{});
-        loop_.Post([this, request = std::move(request)] { OnShare(request); });
+        loop_.Post([this, request = std::move(request)]() mutable { OnShare(std::move(request)); });
+      });
+  server_.Handle<counts_request, counts_reply>(
+      "fleet.counts", {},
+      [this](const rpc_context&, const counts_request&, rpc_callback<counts_reply> respond) {
+        loop_.Post([this, respond = std::move(respond)] { respond(MakeCountsReply()); });
       });
   server_.Handle<propose_request, done_reply>(
       "fleet.propose", {},
@@ -146,6 +167,7 @@
   status_ = replica_->Status();
   RefreshRoster();
   const steady_time now = clock_.Now();
+  RestartCountingAfterPause();
   const bool is_leader = replica_->LeadingTerm() != 0;
   if (is_leader && !std::exchange(was_leader_, is_leader)) {
     membership_.OnElected(now);
@@ -157,7 +179,9 @@
   } else {
     RequestJoin();
   }
+  RequestCounts();
   RefreshPolicy();
+  RefreshUnreported();
   RefreshLimits();
   PlanTrials();
   OnConditionsChanged(health_.Refresh(now));
--- a/src/fleet/fleet_core.h
+++ b/src/fleet/fleet_core.h
@@ -10,6 +10,7 @@
 #include "fleet/membership_manager.h"
 #include "fleet/messages.h"
 #include "fleet/serving_policy.h"
+#include "fleet/unreported_usage.h"
 #include "fleet/upstream_health_table.h"
 #include "fleet/usage_ledger.h"
 #include "wire/io_loop.h"
@@ -42,6 +43,8 @@
   std::chrono::milliseconds announcement_interval{1500};
   rate_tolerance rates;
   repeat_bound repeats;
+  /// An entry VM without contact to the core VMs admits no requests of workspaces after this time.
+  std::chrono::milliseconds withdrawal_bound{5000};
 };
 
 /// Thread safe. Callbacks run on the event loop of the core and must not block.
@@ -95,6 +98,14 @@
     std::string region;
     std::uint32_t active_vms = 0;
     steady_time received_at;
+    std::uint64_t incarnation = 0;
+    std::uint32_t departed_vms = 0;  ///< VMs that have changed to another core VM since then.
+    std::vector<named_counts> unreported;
+  };
+  /// Counts that another core VM has not received.
+  struct undelivered_share {
+    steady_time at;
+    core_share share;
   };
 
   void RegisterCalls();
@@ -122,6 +133,17 @@
   watch_reply MakeReply(const watcher& waiting) const;
   enum class origin { kOwnRegion, kOtherRegion };
   void ApplyObservations(const observations& seen, origin source);
+  void RestartCountingAfterPause();
+  bool HasCompleteCounts() const;
+  void RequestCounts();
+  counts_reply MakeCountsReply() const;
+  void OnCounts(const counts_reply& reply);
+  void RecordWatch(const watch_request& request);
+  void OnArrivals(const std::vector<vm_arrival>& arrivals);
+  void CountForPeer(const core_share& share);
+  void DropKnownCounts(core_share& share) const;
+  void RefreshUnreported();
+  double UnreportedBy(const std::string& workspace) const;
   void ApplyCounts(const std::vector<named_counts>& workspaces,
                    const std::vector<named_counts>& services,
                    origin source,
@@ -131,7 +153,7 @@
   service_usage ServiceUsageOf(const std::string& service) const;
   void OnReport(report_request request);
   // Exchange between core VMs (fleet_core_share.cpp).
-  void OnShare(const share_request& request);
+  void OnShare(share_request request);
   void QueueForSharing(const observations& seen);
   core_share& OwnShare(std::map<std::string, core_share>& pending);
   void AddChangedLoads(core_share& share, load_change_tracker& tracker);
@@ -139,9 +161,13 @@
   void ShareAcrossRegions();
   void ExpediteCrossRegionShare();
   void ScheduleShare(std::chrono::milliseconds delay);
-  enum class on_send_failure { kDiscard, kRequeueCounts };
+  enum class on_send_failure { kResendToMember, kRequeueCounts };
   void SendShares(const std::string& member, share_request request, on_send_failure policy);
   void RequeueCounts(const share_request& request, steady_time sent_at);
+  void KeepUndelivered(const std::string& member,
+                       const share_request& request,
+                       steady_time sent_at);
+  void AddUndelivered(const std::string& member, share_request& request);
   bool IsInOwnRegion(const std::string& member) const;
   void ApplyLoads(const std::string& reporter, const std::vector<load_report>& loads);
   void ExpireLoads();
@@ -151,6 +177,8 @@
   void PlanTrials();
   void ExpireSilent();
   std::uint32_t CountActiveVms() const;
+  void ExpectVms(std::uint32_t count);
+  void UpdateFleetSize();
 
   rpc_channel* ChannelTo(const std::string& name);
   rpc_channel& Channel(const std::string& name, const endpoint& address);
@@ -159,7 +187,9 @@
   fleet_core_settings settings_;
   const policy_decoder decoder_;
   const clock_source& clock_;
-  const steady_time started_at_;     ///< Start of the counts in the ledgers.
+  /// When this core VM began to count, or went on after a pause.
+  steady_time counting_started_at_;
+  steady_time counting_since_;       ///< Start of the complete counts in the ledgers.
   const std::uint64_t incarnation_;  ///< Random, one per start of this core VM.
 
   fleet_state state_;
@@ -175,6 +205,8 @@
   crash_tracker crashes_;
   usage_ledger usage_;           ///< Counts of all VMs, as far as they have arrived.
   usage_ledger regional_usage_;  ///< Counts of this region's VMs, which arrive first.
+  unreported_usage unreported_by_vms_;
+  unreported_usage unreported_by_cores_;  ///< By the VMs of other core VMs.
   policy_ptr policy_;
   std::vector<upstream_entry> roster_;  ///< As of `roster_index_`.
   std::uint64_t roster_index_ = 0;
@@ -192,13 +224,20 @@
   load_change_tracker loads_sent_in_region_;
   load_change_tracker loads_sent_across_regions_;
   std::map<std::string, steady_time> active_vms_;
+  std::uint32_t expected_vms_ = 0;  ///< The most that others knew of when the counts began.
+  std::uint32_t fleet_size_ = 1;    ///< The most entry VMs of the last time.
+  steady_time fleet_size_at_{};     ///< When there were so many.
   std::map<std::string, peer> peers_;
+  std::map<std::string, std::vector<undelivered_share>> undelivered_;  ///< By core VM.
   shared_limits limits_;
   std::uint64_t limits_revision_ = 1;
   std::uint64_t seen_index_ = 0;
   std::size_t next_seed_ = 0;
   steady_time next_join_{};
   steady_time next_expiry_{};
+  steady_time last_tick_{};
+  steady_time next_counts_request_{};
+  std::size_t next_counts_member_ = 0;
   bool is_near_limit_ = false;  ///< A workspace is near its limit: counts are sent sooner.
   steady_time next_cross_region_share_{};
   steady_time next_answer_{};
--- a/src/fleet/fleet_core_share.cpp
+++ b/src/fleet/fleet_core_share.cpp
@@ -2,6 +2,7 @@
 #include "fleet/fleet_core.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace corianderhoist {
@@ -19,6 +20,8 @@
 // Older counts have left the rate window.
 constexpr milliseconds kMaxResentCountAge(5000);
 constexpr milliseconds kVmActiveTimeout(2500);
+// A region may have only one core VM for good.
+constexpr std::size_t kMaxPendingArrivals = 256;
 // A load expires if it or its reporter has not been renewed for this time.
 constexpr milliseconds kLoadTimeout(3 * load_change_tracker::kResendInterval);
 
@@ -39,6 +42,9 @@
   to.core = from.core;
   to.region = from.region;
   to.active_vms = from.active_vms;
+  to.incarnation = from.incarnation;
+  to.unreported = from.unreported;
+  Append(to.arrivals, from.arrivals);
   Merge(to.seen, from.seen);
   Append(to.announced, from.announced);
   for (const load_report& note : from.loads) {
@@ -115,6 +121,14 @@
 
 void fleet_core::AddChangedLoads(core_share& share, load_change_tracker& tracker) {
   const steady_time now = clock_.Now();
+  share.incarnation = incarnation_;
+  share.unreported.clear();
+  for (const auto& [workspace, requests] : unreported_by_vms_.All()) {
+    const auto rounded = static_cast<std::uint64_t>(std::ceil(requests.Total()));
+    if (rounded > 0) {
+      share.unreported.push_back({workspace, rounded});
+    }
+  }
   share.active_vms = static_cast<std::uint32_t>(
       std::count_if(active_vms_.begin(), active_vms_.end(),
                     [&](const auto& item) { return now - item.second < kVmActiveTimeout; }));
@@ -130,26 +144,33 @@
   if (channel == nullptr) {
     return;
   }
+  if (policy == on_send_failure::kResendToMember) {
+    AddUndelivered(member, request);
+  }
   channel->Call<done_reply>(
       "fleet.share", request, kShareTimeout,
-      [this, policy, request, sent_at = clock_.Now()](const rpc_result<done_reply>& reply) {
-        if (policy == on_send_failure::kRequeueCounts &&
-            std::holds_alternative<rpc_failure>(reply)) {
+      [this, member, policy, request, sent_at = clock_.Now()](const rpc_result<done_reply>& reply) {
+        if (!std::holds_alternative<rpc_failure>(reply)) {
+          return;
+        }
+        if (policy == on_send_failure::kRequeueCounts) {
           RequeueCounts(request, sent_at);
+        } else {
+          KeepUndelivered(member, request, sent_at);
         }
       });
 }
 
 // Outcomes that did not arrive are too old to resend, but counts must not be lost, because
-// admission is limited by them. Applies only to calls to the leader: the leader sends the same
-// counts to many core VMs, and a second transmission would be counted twice by those that received
-// the first.
+// admission is limited by them. A call that failed after its arrival is counted twice, which limits
+// a workspace too much for one window, never too little.
 void fleet_core::RequeueCounts(const share_request& request, steady_time sent_at) {
   const auto elapsed = std::chrono::duration_cast<milliseconds>(clock_.Now() - sent_at);
   for (const core_share& share : request.shares) {
     core_share& requeued = pending_across_regions_[share.core];
     requeued.core = share.core;
     requeued.region = share.region;
+    Append(requeued.arrivals, share.arrivals);
     if (!share.seen.workspaces.empty() || !share.seen.services.empty()) {
       requeued.seen.late.push_back({elapsed, share.seen.workspaces, share.seen.services});
     }
@@ -161,6 +182,54 @@
   }
 }
 
+// Counts that a member of the same region, or the leader's receiver, lacks are sent to it alone.
+void fleet_core::KeepUndelivered(const std::string& member,
+                                 const share_request& request,
+                                 steady_time sent_at) {
+  for (const core_share& share : request.shares) {
+    core_share kept;
+    kept.core = share.core;
+    kept.region = share.region;
+    if (!share.seen.workspaces.empty() || !share.seen.services.empty()) {
+      kept.seen.late.push_back({milliseconds(0), share.seen.workspaces, share.seen.services});
+    }
+    Append(kept.seen.late, share.seen.late);
+    kept.arrivals = share.arrivals;
+    if (!kept.seen.late.empty() || !kept.arrivals.empty()) {
+      undelivered_[member].push_back({sent_at, std::move(kept)});
+    }
+  }
+}
+
+void fleet_core::AddUndelivered(const std::string& member, share_request& request) {
+  const auto found = undelivered_.find(member);
+  if (found == undelivered_.end()) {
+    return;
+  }
+  const steady_time now = clock_.Now();
+  std::vector<undelivered_share> rest;
+  for (undelivered_share& kept : found->second) {
+    const auto elapsed = std::chrono::ceil<milliseconds>(now - kept.at);
+    const auto to =
+        std::find_if(request.shares.begin(), request.shares.end(),
+                     [&](const core_share& share) { return share.core == kept.share.core; });
+    if (to == request.shares.end()) {
+      // Waits for the next share of that core VM, which has its current state.
+      if (elapsed < kMaxResentCountAge) {
+        rest.push_back(std::move(kept));
+      }
+      continue;
+    }
+    Append(to->arrivals, kept.share.arrivals);
+    for (const resent_counts& late : kept.share.seen.late) {
+      if (late.age + elapsed < kMaxResentCountAge) {
+        to->seen.late.push_back({late.age + elapsed, late.workspaces, late.services});
+      }
+    }
+  }
+  found->second = std::move(rest);
+}
+
 void fleet_core::ShareInRegion() {
   is_share_scheduled_ = false;
   core_share own = std::exchange(OwnShare(pending_for_region_), {});
@@ -169,17 +238,21 @@
       std::any_of(status_.members.begin(), status_.members.end(),
                   [this](const group_member& member) { return IsInOwnRegion(member.name); });
   if (is_stopped_ || !has_peer) {
+    if (own.arrivals.size() <= kMaxPendingArrivals) {
+      OwnShare(pending_for_region_).arrivals = std::move(own.arrivals);  // Until a peer is known.
+    }
     return;
   }
   own.core = settings_.name;
   own.region = settings_.region;
   AddChangedLoads(own, loads_sent_in_region_);
-  if (own.seen.IsEmpty() && own.announced.empty() && own.loads.empty()) {
+  if (own.seen.IsEmpty() && own.announced.empty() && own.loads.empty() && own.arrivals.empty() &&
+      own.unreported.empty()) {
     return;
   }
   for (const group_member& member : status_.members) {
     if (IsInOwnRegion(member.name)) {
-      SendShares(member.name, {{own}}, on_send_failure::kDiscard);
+      SendShares(member.name, {{own}}, on_send_failure::kResendToMember);
     }
   }
 }
@@ -215,24 +288,32 @@
       }
     }
     if (!request.shares.empty()) {
-      SendShares(member.name, std::move(request), on_send_failure::kDiscard);
+      SendShares(member.name, std::move(request), on_send_failure::kResendToMember);
     }
   }
 }
 
-void fleet_core::OnShare(const share_request& request) {
+void fleet_core::OnShare(share_request request) {
   const steady_time now = clock_.Now();
-  for (const core_share& share : request.shares) {
-    peers_[share.core] = {share.region, share.active_vms, now};
+  for (core_share& share : request.shares) {
+    peers_[share.core] = {share.region,    share.active_vms, now, share.incarnation, 0,
+                          share.unreported};
+    for (const vm_arrival& arrival : share.arrivals) {
+      unreported_by_vms_.Forget(arrival.vm);
+      active_vms_.erase(arrival.vm);
+    }
+    OnArrivals(share.arrivals);
     for (const upstream_handle upstream : share.announced) {
       health_.RecordAnnouncement(upstream, now);
     }
     for (const upstream_handle upstream : all_loads_.Update(share.core, share.loads, now)) {
       health_.SetRunning(upstream, all_loads_.Sum(upstream), now);
     }
-    if (replica_->LeadingTerm() != 0) {
+    if (replica_->LeadingTerm() != 0) {  // Others may lack the counts that are dropped below.
       Merge(pending_across_regions_[share.core], share);
     }
+    DropKnownCounts(share);
+    CountForPeer(share);
     ApplyObservations(share.seen,
                       share.region == settings_.region ? origin::kOwnRegion : origin::kOtherRegion);
   }
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -4,6 +4,7 @@
 ///   held until there is a change or its hold time has passed.
 /// - `fleet.report` (entry VM to core VM): outcomes and counts.
 /// - `fleet.share` (core VM to core VM): the same, aggregated over the reporting VMs.
+/// - `fleet.counts` (core VM to core VM): fetches the counts of the last seconds.
 /// - `fleet.propose` (to the leader): proposes an entry for the replicated log.
 /// - `fleet.join` (to the leader): requests membership for a machine.
 #pragma once
@@ -138,12 +139,18 @@
   std::string vm;  ///< Name of the entry VM.
   observations seen;
   std::vector<load_report> loads;  ///< Changed loads only.
+  /// Counts of the current window that another core VM has received, in the first report to a core
+  /// VM: it reckons with them if it loses contact to this VM.
+  std::vector<resent_counts> former;
+  bool is_last = false;  ///< The VM has stopped and admits no more requests.
 
   template <class Self, class Visitor>
   static void ForEachField(Self& self, Visitor&& visit) {
     visit(1, self.vm);
     visit(2, self.seen);
     visit(3, self.loads);
+    visit(4, self.former);
+    visit(5, self.is_last);
   }
 };
 
@@ -180,10 +187,12 @@
   }
 };
 
-/// The share of a workspace's requests that may be admitted.
+/// How much of a workspace's requests may be admitted.
 struct workspace_share {
   std::string workspace;
-  std::uint32_t per_mille = 1000;
+  std::uint32_t per_mille = 1000;  ///< Share of the requests.
+  /// Part of the limit that the VMs without contact may use beyond their former level together.
+  std::uint32_t room_per_mille = 0;
 
   bool operator==(const workspace_share&) const = default;
 
@@ -191,12 +200,14 @@
   static void ForEachField(Self& self, Visitor&& visit) {
     visit(1, self.workspace);
     visit(2, self.per_mille);
+    visit(3, self.room_per_mille);
   }
 };
 
 /// Limits that apply to all VMs. Small, hence sent as a whole whenever one of them changes.
 struct shared_limits {
-  std::vector<workspace_share> workspaces;       ///< Only those with a share below 1.
+  /// Only those with a share below 1 or less room than `kMaxRoomPerMille`.
+  std::vector<workspace_share> workspaces;
   std::vector<std::string> low_budget_services;  ///< Services whose repeat budget is running low.
   std::vector<std::uint64_t> blocked_requests;   ///< Fingerprints of requests that crash upstreams.
   std::uint32_t active_vms = 1;                  ///< Entry VMs that were active recently.
@@ -225,6 +236,9 @@
   std::uint64_t cores_digest = 0;    ///< `CoresDigest` of the core VMs that it knows.
   std::string data_centre;           ///< Of the entry VM.
   bool is_probe = false;  ///< Requests no state, only what identifies the core VM and its age.
+  /// Time since it sent the call whose answer set its level of admitted requests.
+  std::chrono::milliseconds level_age{};
+  std::uint32_t active_vms = 0;  ///< Number of entry VMs that a core VM stated last; 0: unknown.
 
   template <class Self, class Visitor>
   static void ForEachField(Self& self, Visitor&& visit) {
@@ -238,6 +252,8 @@
     visit(8, self.cores_digest);
     visit(9, self.data_centre);
     visit(10, self.is_probe);
+    visit(11, self.level_age);
+    visit(12, self.active_vms);
   }
 };
 
@@ -284,6 +300,18 @@
   }
 };
 
+/// An entry VM that has changed to the core VM that sends this.
+struct vm_arrival {
+  std::string vm;
+  std::uint64_t former_core = 0;  ///< Incarnation of the core VM that it watched before.
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.vm);
+    visit(2, self.former_core);
+  }
+};
+
 /// Observations of the VMs that report to one core VM since the last call.
 struct core_share {
   std::string core;
@@ -292,6 +320,11 @@
   std::vector<upstream_handle> announced;  ///< Upstreams that have announced themselves.
   std::vector<load_report> loads;          ///< Changed loads only.
   std::uint32_t active_vms = 0;            ///< Active entry VMs that use this core VM.
+  std::uint64_t incarnation = 0;           ///< Of the core VM.
+  std::vector<vm_arrival> arrivals;
+  /// By workspace: requests that its VMs may have admitted or may still admit unreported. Replaces
+  /// the former list.
+  std::vector<named_counts> unreported;
 
   template <class Self, class Visitor>
   static void ForEachField(Self& self, Visitor&& visit) {
@@ -301,6 +334,9 @@
     visit(4, self.announced);
     visit(5, self.loads);
     visit(6, self.active_vms);
+    visit(7, self.incarnation);
+    visit(8, self.arrivals);
+    visit(9, self.unreported);
   }
 };
 
@@ -316,6 +352,30 @@
   }
 };
 
+/// Body of `fleet.counts`: a core VM whose counts are incomplete asks another one for them.
+struct counts_request {
+  std::string core;
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.core);
+  }
+};
+
+/// Answer to `fleet.counts`.
+struct counts_reply {
+  bool is_complete = false;  ///< False: the counts of this core VM are incomplete, too.
+  std::vector<resent_counts> counts;
+  std::uint32_t active_vms = 0;  ///< Entry VMs of the fleet.
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.is_complete);
+    visit(2, self.counts);
+    visit(3, self.active_vms);
+  }
+};
+
 /// Body of `fleet.propose`.
 struct propose_request {
   fleet_command command;
--- a/src/fleet/usage_ledger.cpp
+++ b/src/fleet/usage_ledger.cpp
@@ -10,16 +10,24 @@
 constexpr milliseconds kRateWindow(1000);
 // A rate is also measured over this shorter window, so that a sudden rise of the demand shows soon.
 constexpr milliseconds kShortRateWindow(400);
+constexpr milliseconds kDemandMemory(1000);
+// Fewer requests in a short window do not tell a peak from chance.
+constexpr std::uint64_t kMinPeakRequests = 20;
 // Delay of the control loop: until a request is counted and until the resulting decision reaches
 // the VMs.
 constexpr double kFeedbackDelaySeconds = 0.3;
-// Part of the limit that is reserved for counts that have not arrived: a ratio of the limit, and a
-// few requests for small workspaces.
-constexpr double kReservedLimitRatio = 0.07;
+// The time for which admitted requests are not counted: one bucket by which counts may leave the
+// window early, the exchange between regions near a limit with its delay, and one tick of a core
+// VM. A workspace at its limit admits this part of the limit meanwhile.
+constexpr milliseconds kUncountedTime = sliding_count::kBucketDuration + milliseconds(150 + 100);
+// For small workspaces: requests are whole.
 constexpr double kReservedRequests = 2;
 // Below this ratio of the limit nothing is refused.
 constexpr double kUnthrottledUsageRatio = 0.9;
 constexpr double kNearLimitUsageRatio = 0.6;
+constexpr double kPerMille = 1000;
+constexpr std::uint32_t kRoomStepPerMille = 125;
+constexpr double kRoomHysteresisPerMille = 50;
 // Repeats are unrestricted until this ratio of the budget is used. The rest covers the repeats that
 // VMs send before they learn that the budget is low.
 constexpr double kLowBudgetUsageRatio = 0.5;
@@ -27,14 +35,6 @@
 // From 10 % of failures on, idle capacity counts as lost; the margin leaves time to react.
 constexpr double kDegradedFailureRatio = 0.075;
 
-double LimitOf(const workspace_rate& limit, const rate_tolerance& tolerance) {
-  const double base = static_cast<double>(limit.rate_per_second) *
-                          std::chrono::duration<double>(tolerance.window).count() +
-                      static_cast<double>(limit.burst);
-  return std::max(base, base * (1 + tolerance.excess - kReservedLimitRatio) + tolerance.slack -
-                            kReservedRequests);
-}
-
 // Requests per second: the larger of a long-window and a short-window estimate.
 double RateOf(const sliding_count& count, steady_time now) {
   const double short_windows_per_second =
@@ -43,12 +43,35 @@
                   static_cast<double>(count.Sum(kShortRateWindow, now)) * short_windows_per_second);
 }
 
+// The highest short-window rate of recent time: callers that pause come back sooner than a decision
+// reaches the VMs.
+template <class Counts>
+double PeakRateOf(const Counts& counts, steady_time now) {
+  const double short_windows_per_second =
+      std::chrono::duration<double>(kRateWindow) / kShortRateWindow;
+  std::uint64_t peak = 0;
+  for (milliseconds age(0); age < kDemandMemory; age += kShortRateWindow) {
+    peak = std::max(peak, counts.admitted.Sum(kShortRateWindow, now - age) +
+                              counts.refused.Sum(kShortRateWindow, now - age));
+  }
+  return peak < kMinPeakRequests ? 0 : static_cast<double>(peak) * short_windows_per_second;
+}
+
 std::int64_t BucketOf(steady_time now) {
   return now.time_since_epoch() / sliding_count::kBucketDuration;
 }
 
 }  // namespace
 
+double SteeredLimit(const workspace_rate& limit, const rate_tolerance& tolerance) {
+  const std::chrono::duration<double> window = tolerance.window;
+  const double base = static_cast<double>(limit.rate_per_second) * window.count() +
+                      static_cast<double>(limit.burst);
+  const double reserved_ratio = kUncountedTime / window;
+  return std::max(
+      base, base * (1 + tolerance.excess - reserved_ratio) + tolerance.slack - kReservedRequests);
+}
+
 void sliding_count::Add(std::uint64_t amount, steady_time now) {
   const std::int64_t number = BucketOf(now);
   bucket& current = buckets_[static_cast<std::size_t>(number) % kBuckets];
@@ -103,7 +126,8 @@
   const workspace_counts& counts = found->second;
   workspace_usage usage;
   usage.admitted_rate = RateOf(counts.admitted, now);
-  usage.demand_rate = usage.admitted_rate + RateOf(counts.refused, now);
+  usage.demand_rate =
+      std::max(usage.admitted_rate + RateOf(counts.refused, now), PeakRateOf(counts, now));
   for (std::size_t i = 0; i < usage.spent.size(); ++i) {
     usage.spent[i] = static_cast<double>(
         counts.admitted.Sum(tolerance.window - workspace_usage::kHorizons[i], now));
@@ -132,7 +156,7 @@
   for (std::size_t i = 0; i < usage.spent.size(); ++i) {
     const milliseconds elapsed = tolerance.window - workspace_usage::kHorizons[i];
     const std::chrono::duration<double> unknown = std::max(elapsed - known_for, milliseconds(0));
-    usage.spent[i] += LimitOf(limit, tolerance) * (unknown / window);
+    usage.spent[i] += SteeredLimit(limit, tolerance) * (unknown / window);
   }
   return usage;
 }
@@ -143,7 +167,7 @@
   if (limit.rate_per_second == 0 || usage.demand_rate == 0) {
     return 1;
   }
-  const double allowed = LimitOf(limit, tolerance);
+  const double allowed = SteeredLimit(limit, tolerance);
   const double in_flight = usage.admitted_rate * kFeedbackDelaySeconds;
   if (usage.spent.back() + in_flight + usage.demand_rate <= allowed * kUnthrottledUsageRatio) {
     return 1;
@@ -161,8 +185,32 @@
 bool IsNearLimit(const workspace_usage& usage,
                  const workspace_rate& limit,
                  const rate_tolerance& tolerance) {
-  return limit.rate_per_second != 0 &&
-         usage.spent.back() + usage.demand_rate > LimitOf(limit, tolerance) * kNearLimitUsageRatio;
+  return limit.rate_per_second != 0 && usage.spent.back() + usage.demand_rate >
+                                           SteeredLimit(limit, tolerance) * kNearLimitUsageRatio;
+}
+
+std::uint32_t RoomPerMille(const workspace_usage& usage,
+                           const workspace_rate& limit,
+                           const rate_tolerance& tolerance,
+                           std::uint32_t former) {
+  const double allowed = SteeredLimit(limit, tolerance);
+  const double used = usage.spent.front() + usage.admitted_rate * kFeedbackDelaySeconds;
+  const double unused = std::clamp(kPerMille * (1 - used / allowed), 0.0, kPerMille);
+  const auto step_below = [](double room) {
+    return std::min(static_cast<std::uint32_t>(room) / kRoomStepPerMille * kRoomStepPerMille,
+                    kMaxRoomPerMille);
+  };
+  const std::uint32_t room = step_below(unused);
+  return room > former
+             ? std::max(former, step_below(std::max(unused - kRoomHysteresisPerMille, 0.0)))
+             : room;
+}
+
+double GrowthPerVm(const workspace_rate& limit,
+                   const rate_tolerance& tolerance,
+                   std::uint32_t room_per_mille,
+                   std::uint32_t active_vms) {
+  return SteeredLimit(limit, tolerance) * room_per_mille / kPerMille / std::max(active_vms, 1U);
 }
 
 bool IsDegraded(const service_usage& usage) {
--- a/src/fleet/usage_ledger.h
+++ b/src/fleet/usage_ledger.h
@@ -97,6 +97,26 @@
                      const workspace_rate& limit,
                      const rate_tolerance& tolerance);
 
+/// The requests of a window up to which the core VMs let VMs admit. What is left up to the bound of
+/// `rate_tolerance` covers requests that are not counted yet.
+double SteeredLimit(const workspace_rate& limit, const rate_tolerance& tolerance);
+
+/// The part of `SteeredLimit` that VMs without contact may use beyond their former level: half of
+/// what is unused, in steps, or `kMaxRoomPerMille` if no less is unused. It rises only if it
+/// clearly exceeds the next step, since each change is sent to every VM.
+constexpr std::uint32_t kMaxRoomPerMille = 750;
+std::uint32_t RoomPerMille(const workspace_usage& usage,
+                           const workspace_rate& limit,
+                           const rate_tolerance& tolerance,
+                           std::uint32_t former);
+
+/// Requests in a window by which one of `active_vms` VMs without contact may exceed its former
+/// level, so that all of them together use no more than the room.
+double GrowthPerVm(const workspace_rate& limit,
+                   const rate_tolerance& tolerance,
+                   std::uint32_t room_per_mille,
+                   std::uint32_t active_vms);
+
 /// Whether the demand is so close to the limit that counts must be exchanged more often.
 bool IsNearLimit(const workspace_usage& usage,
                  const workspace_rate& limit,
@@ -131,6 +151,30 @@
                         const repeat_bound& bound,
                         steady_time now) const;
 
+  /// Calls the visitors with the counts, if any, of the time of length `step` that ends at `end`:
+  /// `on_workspace(name, admitted, refused)`, `on_service(name, requests, repeats, failures)`.
+  template <class OnWorkspace, class OnService>
+  void Visit(std::chrono::milliseconds step,
+             steady_time end,
+             OnWorkspace on_workspace,
+             OnService on_service) const {
+    for (const auto& [name, counts] : workspaces_) {
+      const std::uint64_t admitted = counts.admitted.Sum(step, end);
+      const std::uint64_t refused = counts.refused.Sum(step, end);
+      if (admitted + refused > 0) {
+        on_workspace(name, admitted, refused);
+      }
+    }
+    for (const auto& [name, counts] : services_) {
+      const std::uint64_t requests = counts.requests.Sum(step, end);
+      const std::uint64_t repeats = counts.repeats.Sum(step, end);
+      const std::uint64_t failures = counts.failures.Sum(step, end);
+      if (requests + repeats + failures > 0) {
+        on_service(name, requests, repeats, failures);
+      }
+    }
+  }
+
  private:
   struct workspace_counts {
     sliding_count admitted;
--- a/src/serving/admission.cpp
+++ b/src/serving/admission.cpp
@@ -1,6 +1,9 @@
 #include "serving/admission.h"
 
+#include "base/hash.h"
+
 #include <algorithm>
+#include <cmath>
 
 namespace corianderhoist {
 namespace {
@@ -14,10 +17,11 @@
 // by this margin, the caller is asked to retry instead of being told that the key or route does not
 // exist.
 constexpr milliseconds kUnknownNameMargin(700);
-// Fraction of the rate that the VMs divide equally while no core VM is reachable. The rest covers
-// the burst of one request that each VM may admit at once.
-constexpr double kLocalRateFactor = 0.9;
-constexpr double kLocalBurst = 1;
+// Between two replies of a core VM, this VM's requests may grow by this fraction of its level, and
+// by a few at least, so that callers who turn to this VM are not refused. If it loses contact just
+// then, the core VMs do not know of these requests.
+constexpr std::uint64_t kLevelPerGrowth = 2;
+constexpr std::uint64_t kMinConnectedGrowth = 4;
 
 }  // namespace
 
@@ -73,20 +77,24 @@
   const steady_time now = clock_.Now();
   sliding_count& admitted_count = admitted_counts_[workspace.name];
   local_quota& quota = local_quotas_[workspace.name];
+  const std::uint64_t admitted = admitted_count.Sum(settings_.rates.window, now);
   const bool is_disconnected = !view_.AreLimitsCurrent(now);
   // If all core VMs were lost, the new ones do not know what was admitted in the current window. A
   // local quota that started under a limit therefore stays in force until they have counted a whole
   // window.
   const bool is_quota_binding =
-      quota.was_limited && now - quota.last_disconnected_at < settings_.rate_window;
+      quota.was_limited && now - quota.last_disconnected_at < settings_.rates.window;
   bool may_run = true;
   if (is_disconnected || is_quota_binding) {
-    const std::uint64_t admitted = admitted_count.Sum(settings_.rate_window, now);
     if (is_disconnected && quota.last_disconnected_at <= view_.LimitsReceivedAt()) {
-      StartLocalQuota(workspace.name, admitted, quota);
+      StartLocalQuota(workspace, admitted_count, quota);
     }
     quota.last_disconnected_at = is_disconnected ? now : quota.last_disconnected_at;
-    may_run = TakeLocalQuota(workspace, admitted, quota);
+    may_run = TakeLocalQuota(admitted, quota);
+  } else {
+    const std::uint64_t level = LevelOf(admitted_count);
+    may_run = admitted <
+              level + std::max({GrowthOf(workspace), level / kLevelPerGrowth, kMinConnectedGrowth});
   }
   may_run = may_run && (is_disconnected || TakeAdmittedShare(workspace.name));
   if (may_run) {
@@ -95,35 +103,48 @@
   return may_run;
 }
 
-void admission::StartLocalQuota(const std::string& workspace,
-                                std::uint64_t admitted,
-                                local_quota& quota) {
+// The level that the core VMs assume for this VM if it loses contact now.
+std::uint64_t admission::LevelOf(const sliding_count& admitted) const {
+  return admitted.Sum(settings_.rates.window, view_.LevelAt());
+}
+
+// This VM's part of the room, rounded up or down so that the parts of all VMs add up to it.
+std::uint64_t admission::GrowthOf(const policy_workspace& workspace) const {
+  constexpr std::uint64_t kSteps = 1'000'000;
+  const double rounding =
+      static_cast<double>((FastHash(workspace.name) ^ settings_.seed) % kSteps) / kSteps;
+  const double growth = GrowthPerVm({workspace.rate_per_second, workspace.burst}, settings_.rates,
+                                    view_.RoomPerMille(workspace.name), view_.Limits().active_vms);
+  return static_cast<std::uint64_t>(std::floor(growth + rounding));
+}
+
+void admission::StartLocalQuota(const policy_workspace& workspace,
+                                const sliding_count& admitted,
+                                local_quota& quota) const {
   const steady_time now = clock_.Now();
-  // All VMs lose the core VMs at the same time. If the workspace was limited, one initial token per
-  // VM would add up to more than is left of the rate.
-  const bool was_limited = view_.AdmittedShare(workspace) < 1;
-  quota = {admitted, was_limited, now, was_limited ? 0 : kLocalBurst, now};
+  quota = {.level = LevelOf(admitted),
+           .growth = GrowthOf(workspace),
+           .was_limited = view_.AdmittedShare(workspace.name) < 1,
+           .last_disconnected_at = now,
+           .tokens = 1,
+           .refilled_at = now};
 }
 
 // Limits the rate without core VMs under any demand: each VM admits as many requests per window as
-// it did in the last window with core VMs, or an equal part of the rate if that is more. The former
-// count reflects that demand differs between VMs, and accounts for what was already admitted in the
-// window.
-bool admission::TakeLocalQuota(const policy_workspace& workspace,
-                               std::uint64_t admitted,
-                               local_quota& quota) const {
+// it did in the last window that the core VMs know of, and its part of what was unused then. The
+// core VMs reckon with both until this VM is back. The level reflects that demand differs between
+// VMs, and accounts for what was already admitted in the window.
+bool admission::TakeLocalQuota(std::uint64_t admitted, local_quota& quota) const {
   const steady_time now = clock_.Now();
-  const double window = std::chrono::duration<double>(settings_.rate_window).count();
-  const double vms = std::max(view_.Limits().active_vms, 1U);
-  const double rate = static_cast<double>(workspace.rate_per_second) * kLocalRateFactor / vms -
-                      static_cast<double>(quota.prior_admitted) / window;
-  const double elapsed = std::chrono::duration<double>(now - quota.refilled_at).count();
-  quota.tokens = std::min(quota.tokens + std::max(rate, 0.0) * elapsed, kLocalBurst);
+  const std::chrono::duration<double> elapsed = now - quota.refilled_at;
+  const std::chrono::duration<double> window = settings_.rates.window;
+  quota.tokens =
+      std::min(quota.tokens + static_cast<double>(quota.growth) * (elapsed / window), 1.0);
   quota.refilled_at = now;
-  if (admitted < quota.prior_admitted) {
+  if (admitted < quota.level) {
     return true;
   }
-  if (quota.tokens < 1) {
+  if (admitted >= quota.level + quota.growth || quota.tokens < 1) {
     return false;
   }
   quota.tokens -= 1;
--- a/src/serving/admission.h
+++ b/src/serving/admission.h
@@ -19,8 +19,10 @@
   std::chrono::milliseconds withdrawal_bound{5000};
   /// Time from the acknowledgement of a policy until every VM follows it.
   std::chrono::milliseconds policy_bound{2500};
-  /// Sliding window in which the rate limit of a workspace holds. At most 10 s.
-  std::chrono::milliseconds rate_window{5000};
+  /// Sliding window in which the rate limit of a workspace holds, at most 10 s, and its tolerance.
+  rate_tolerance rates;
+  /// Seed of the rounding of this VM's part of a limit; differs between VMs.
+  std::uint64_t seed = 0;
 };
 
 /// The parts of a request that admission depends on.
@@ -60,22 +62,23 @@
  private:
   /// The part of a workspace's rate limit that this VM may use while no core VM is reachable.
   struct local_quota {
-    /// Requests that this VM admitted in the window before it lost the core VMs. The sum over all
-    /// VMs is what the core VMs allowed.
-    std::uint64_t prior_admitted = 0;
+    /// Requests that this VM had admitted in the window when it last called the core VMs with
+    /// success. The sum over all VMs is what the core VMs allowed.
+    std::uint64_t level = 0;
+    std::uint64_t growth = 0;  ///< Requests in a window beyond the level.
     bool was_limited = false;  ///< The core VMs admitted less than all requests at that time.
     steady_time last_disconnected_at{};  ///< Last decision without core VMs.
-    /// Token bucket, filled with the amount by which `prior_admitted` is below an equal part of
-    /// the rate.
-    double tokens = 0;
+    double tokens = 0;                   ///< Bucket that spreads the growth over the window.
     steady_time refilled_at{};
   };
 
   std::chrono::milliseconds StateAge() const;
-  void StartLocalQuota(const std::string& workspace, std::uint64_t admitted, local_quota& quota);
-  bool TakeLocalQuota(const policy_workspace& workspace,
-                      std::uint64_t admitted,
-                      local_quota& quota) const;
+  std::uint64_t LevelOf(const sliding_count& admitted) const;
+  std::uint64_t GrowthOf(const policy_workspace& workspace) const;
+  void StartLocalQuota(const policy_workspace& workspace,
+                       const sliding_count& admitted,
+                       local_quota& quota) const;
+  bool TakeLocalQuota(std::uint64_t admitted, local_quota& quota) const;
   bool TakeAdmittedShare(const std::string& workspace);
 
   const admission_settings settings_;
--- a/src/serving/fleet_link.cpp
+++ b/src/serving/fleet_link.cpp
@@ -28,6 +28,8 @@
 // Older counts are outside the sliding window of every rate limit.
 constexpr milliseconds kMaxResentCountAge(5000);
 constexpr milliseconds kReportDelay(15);
+// Delivered counts are kept in steps of this length.
+constexpr milliseconds kFormerCountStep(200);
 constexpr milliseconds kUrgentReportDelay(2);
 constexpr milliseconds kProbeInterval(5000);
 constexpr milliseconds kProbeTimeout(500);
@@ -126,6 +128,8 @@
         .Field("round_trip_us", std::int64_t(chosen->round_trip.count()));
     current_ = chosen;
     reported_.Clear();
+    is_former_due_ = !delivered_.empty();
+    ScheduleReport(false);
   }
   // The first call measures the round trip and requests no state: transferring the whole state from
   // a core VM in another region would cost inter-region traffic at each start.
@@ -136,6 +140,10 @@
   request.cores_digest = cores_digest_;
   request.data_centre = settings_.data_centre;
   const steady_time sent_at = clock_.Now();
+  if (view_.LevelAt() != steady_time()) {
+    request.level_age = std::chrono::ceil<milliseconds>(sent_at - view_.LevelAt());
+    request.active_vms = view_.Limits().active_vms;
+  }
   const milliseconds timeout = is_measured ? kWatchHold + kWatchReplyGrace : kFirstProbeTimeout;
   ChannelOf(*chosen).Call<watch_reply>("fleet.watch", request, timeout,
                                        [this, alive = is_alive_, chosen, sent_at,
@@ -369,6 +377,40 @@
   }
 }
 
+void fleet_link::NoteDelivered(const observations& seen, steady_time sent_at) {
+  const auto note = [this](steady_time at, const std::vector<named_counts>& workspaces) {
+    const bool is_same_step = !delivered_.empty() && at - delivered_.back().at < kFormerCountStep;
+    if (is_same_step && at >= delivered_.back().at) {
+      MergeCounts(delivered_.back().workspaces, workspaces);
+    } else if (!workspaces.empty()) {
+      delivered_.push_back({at, workspaces, {}});
+    }
+  };
+  note(sent_at, seen.workspaces);
+  for (const resent_counts& late : seen.late) {
+    note(sent_at - late.age, late.workspaces);
+  }
+  while (!delivered_.empty() && sent_at - delivered_.front().at > kMaxResentCountAge) {
+    delivered_.pop_front();
+  }
+}
+
+std::vector<resent_counts> fleet_link::FormerCounts(steady_time now) const {
+  std::vector<resent_counts> former;
+  for (const timed_counts& counts : delivered_) {
+    const auto age = std::chrono::duration_cast<milliseconds>(now - counts.at);
+    if (age < kMaxResentCountAge) {
+      former.push_back({age, counts.workspaces, {}});
+    }
+  }
+  return former;
+}
+
+void fleet_link::FlushLast() {
+  is_last_due_ = true;
+  Flush();
+}
+
 void fleet_link::Flush() {
   ++report_generation_;
   is_report_scheduled_ = is_urgent_scheduled_ = false;
@@ -378,12 +420,18 @@
   const steady_time now = clock_.Now();
   report_request request;
   request.loads = reported_.Update(loads_, now);
-  if (unsent_.IsEmpty() && request.loads.empty() && undelivered_.empty()) {
+  request.is_last = is_last_due_;
+  if (unsent_.IsEmpty() && request.loads.empty() && undelivered_.empty() && !is_former_due_ &&
+      !is_last_due_) {
     return;
   }
   request.vm = settings_.vm;
   request.seen = std::exchange(unsent_, {});
-  for (const undelivered_counts& counts : std::exchange(undelivered_, {})) {
+  const bool has_former = std::exchange(is_former_due_, false);
+  if (has_former) {
+    request.former = FormerCounts(now);
+  }
+  for (const timed_counts& counts : std::exchange(undelivered_, {})) {
     const auto age = std::chrono::duration_cast<milliseconds>(now - counts.at);
     if (age < kMaxResentCountAge) {
       request.seen.late.push_back({age, counts.workspaces, counts.services});
@@ -391,10 +439,16 @@
   }
   ChannelOf(*current_).Call<done_reply>(
       "fleet.report", request, kReportTimeout,
-      [this, alive = is_alive_, seen = request.seen,
+      [this, alive = is_alive_, seen = request.seen, has_former,
        sent_at = clock_.Now()](const rpc_result<done_reply>& reply) {
-        if (*alive && std::holds_alternative<rpc_failure>(reply)) {
+        if (!*alive) {
+          return;
+        }
+        if (std::holds_alternative<rpc_failure>(reply)) {
+          is_former_due_ = is_former_due_ || has_former;
           RetainCounts(seen, sent_at);
+        } else {
+          NoteDelivered(seen, sent_at);
         }
       });
 }
--- a/src/serving/fleet_link.h
+++ b/src/serving/fleet_link.h
@@ -9,6 +9,7 @@
 #include "wire/rpc.h"
 
 #include <chrono>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -58,6 +59,8 @@
   std::uint32_t ReportedLoad(upstream_handle upstream) const;
   /// Sends all pending observations.
   void Flush();
+  /// The same, and tells the core VM that this VM admits no more requests.
+  void FlushLast();
 
   /// Called after each reply that was applied to the view.
   std::function<void()> on_update;
@@ -72,7 +75,7 @@
     bool is_same_data_centre = false;
   };
 
-  struct undelivered_counts {
+  struct timed_counts {
     steady_time at;
     std::vector<named_counts> workspaces;
     std::vector<named_counts> services;
@@ -90,6 +93,8 @@
   void ProbeForFresherState(core_vm& stale, std::chrono::milliseconds age);
   void RecordRoundTrip(core_vm& peer, const watch_reply& reply, steady_time sent_at);
   void ScheduleReport(bool is_urgent);
+  void NoteDelivered(const observations& seen, steady_time sent_at);
+  std::vector<resent_counts> FormerCounts(steady_time now) const;
   void RetainCounts(const observations& seen, steady_time sent_at);
 
   io_loop& loop_;
@@ -100,7 +105,10 @@
   core_vm* current_ = nullptr;
   std::uint64_t cores_digest_ = 0;  ///< Of the list of core VMs received last.
   observations unsent_;
-  std::vector<undelivered_counts> undelivered_;     ///< Counts of reports that failed.
+  std::vector<timed_counts> undelivered_;  ///< Counts of reports that failed.
+  std::deque<timed_counts> delivered_;     ///< Counts of workspaces, of a window.
+  bool is_last_due_ = false;
+  bool is_former_due_ = false;  ///< The current core VM lacks the counts of `delivered_`.
   std::map<upstream_handle, std::uint32_t> loads_;  ///< Running requests; no entry for 0.
   load_change_tracker reported_;                    ///< What the current core VM was sent.
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
--- a/src/serving/fleet_view.cpp
+++ b/src/serving/fleet_view.cpp
@@ -1,6 +1,7 @@
 #include "serving/fleet_view.h"
 
 #include "base/log.h"
+#include "fleet/usage_ledger.h"
 
 #include <algorithm>
 #include <utility>
@@ -28,6 +29,7 @@
 void fleet_view::Apply(const watch_reply& reply, steady_time sent_at, steady_time now) {
   if (reply.is_counting) {
     limits_received_at_ = std::max(limits_received_at_, now);
+    level_at_ = std::max(level_at_, sent_at);
   }
   ApplyPolicy(reply.changes.policy);
   if (reply.changes.index >= roster_index_) {
@@ -52,9 +54,10 @@
   // A core VM that does not have complete counts yet cannot compute shares, so the former ones
   // stay.
   if (reply.is_counting && std::exchange(has_unapplied_shares_, false)) {
+    has_shares_ = true;
     shares_.clear();
     for (const workspace_share& share : limits_.workspaces) {
-      shares_[share.workspace] = share.per_mille / kPerMille;
+      shares_[share.workspace] = share;
     }
   }
   core_life_ = reply.core_incarnation;
@@ -136,7 +139,15 @@
 
 double fleet_view::AdmittedShare(const std::string& workspace) const {
   const auto found = shares_.find(workspace);
-  return found == shares_.end() ? 1 : found->second;
+  return found == shares_.end() ? 1 : found->second.per_mille / kPerMille;
+}
+
+std::uint32_t fleet_view::RoomPerMille(const std::string& workspace) const {
+  if (!has_shares_) {
+    return 0;
+  }
+  const auto found = shares_.find(workspace);
+  return found == shares_.end() ? kMaxRoomPerMille : found->second.room_per_mille;
 }
 
 bool fleet_view::AreLimitsCurrent(steady_time now) const {
--- a/src/serving/fleet_view.h
+++ b/src/serving/fleet_view.h
@@ -42,6 +42,9 @@
   bool IsBlocked(std::uint64_t fingerprint) const { return blocked_.contains(fingerprint); }
   /// The share of a workspace's requests to admit, from 0 to 1; 1 if it is not limited.
   double AdmittedShare(const std::string& workspace) const;
+  /// The part of a workspace's limit, per mille, that all VMs without contact to the core VMs may
+  /// use beyond their former level; 0 if no core VM has stated it.
+  std::uint32_t RoomPerMille(const std::string& workspace) const;
   /// Whether this VM must restrict repeats to its part of the budget: the fleet has used much of
   /// the budget, or its usage is unknown here.
   bool IsRepeatBudgetLow(const std::string& service, steady_time now) const;
@@ -53,6 +56,8 @@
   bool AreLimitsCurrent(steady_time now) const;
   /// When a core VM that had complete counts of all VMs last replied.
   steady_time LimitsReceivedAt() const { return limits_received_at_; }
+  /// When the call was sent to which that core VM replied: it knows what was reported before.
+  steady_time LevelAt() const { return level_at_; }
 
   /// Upstreams of the service that are announced as ready and have not been replaced. Their health
   /// is not considered.
@@ -76,7 +81,8 @@
   std::map<std::string, std::vector<const known_upstream*>> ready_by_service_;
   std::set<upstream_handle> replaced_;
   shared_limits limits_;
-  std::map<std::string, double> shares_;
+  std::map<std::string, workspace_share> shares_;
+  bool has_shares_ = false;
   bool has_unapplied_shares_ = false;  ///< `shares_` does not have those of `limits_` yet.
   std::set<std::uint64_t> blocked_;
   std::uint64_t roster_index_ = 0;
@@ -85,6 +91,7 @@
   std::uint64_t limits_revision_ = 0;
   steady_time fresh_at_{};
   steady_time limits_received_at_{};
+  steady_time level_at_{};
 };
 
 }  // namespace corianderhoist
--- a/src/serving/serving_vm.cpp
+++ b/src/serving/serving_vm.cpp
@@ -201,7 +201,7 @@
 void serving_vm::FinishDrain() {
   has_drained_ = true;
   listener_->Close();
-  link_->Flush();
+  link_->FlushLast();
   for (const auto& [key, flow] : context_->flows) {
     flow->NoteCut();
   }
--- a/tests/unit/fleet/usage_ledger_test.cpp
+++ b/tests/unit/fleet/usage_ledger_test.cpp
@@ -1,6 +1,7 @@
 // Fleet-wide rate limits and repeat budgets: an overloading workspace is limited near its rate in
 // every window, one within its rate is not refused, and repeats stay within their budget.
 #include "fleet/usage_ledger.h"
+#include "fleet/unreported_usage.h"
 #include "serving/repeat_budget.h"
 #include "support/test_table.h"
 
@@ -246,5 +247,73 @@
                              CPPUNIT_ASSERT(!IsDegraded({0, 0, 0, 0}));
                            });
 
+// A VM admits 10 requests a second for 5 s, then there is no contact for the time of the row.
+struct silence_case {
+  std::string name;
+  milliseconds silence;
+  milliseconds level_age;  ///< As the VM stated at its last contact.
+  double remaining;        ///< Fraction of the VM's requests that it still admits.
+  double min_unreported;
+  double max_unreported;
+};
+
+const test_table kUnreported(
+    "unreported requests",
+    std::vector<silence_case>{
+        {"a VM in contact owes little", milliseconds(100), milliseconds(100), 1, 0, 2},
+        {"a VM without contact may repeat what left the window", milliseconds(2000),
+         milliseconds(100), 1, 30 + 4, 30 + 4},
+        {"a VM without contact stays debited until its permission ends", milliseconds(5000),
+         milliseconds(100), 1, 50 + 4, 50 + 4},
+        {"what it admitted leaves the window afterwards", milliseconds(7500), milliseconds(100), 1,
+         20, 30},
+        {"nothing is left after a window more", milliseconds(10'100), milliseconds(100), 1, 0, 0},
+        {"a VM that changed to another core VM owes nothing", milliseconds(2000), milliseconds(100),
+         0, 0, 0},
+        {"a VM that misses replies keeps its older level", milliseconds(100), milliseconds(1500), 1,
+         0, 2},
+    },
+    std::function([](const silence_case& row) {
+      manual_clock clock;
+      unreported_usage usage({.window = kTolerance.window});
+      for (int i = 0; i < 50; ++i) {
+        clock.Advance(milliseconds(100));
+        usage.SetGrowth("a", i < 25 ? 9 : 4, clock.Now());
+        usage.Count("vm", "a", 1, clock.Now());
+        usage.RecordContact("vm", row.level_age, clock.Now());
+        usage.Refresh(clock.Now());
+      }
+      usage.SetRemaining("vm", row.remaining);
+      for (milliseconds waited(0); waited < row.silence; waited += milliseconds(100)) {
+        clock.Advance(milliseconds(100));
+        usage.Refresh(clock.Now());
+      }
+      const double unreported = usage.Of("a").Total();
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(unreported),
+                             unreported >= row.min_unreported && unreported <= row.max_unreported);
+    }));
+
+const test_table kReturned("unreported requests",
+                           "a VM that is back owes until its counts have come",
+                           [] {
+                             manual_clock clock;
+                             unreported_usage usage({.window = kTolerance.window});
+                             usage.Count("vm", "a", 20, clock.Now());
+                             usage.RecordContact("vm", milliseconds(0), clock.Now());
+                             clock.Advance(milliseconds(6000));
+                             usage.Refresh(clock.Now());
+                             CPPUNIT_ASSERT_EQUAL(std::size_t(1), usage.SilentReporters());
+                             usage.RecordContact("vm", milliseconds(0), clock.Now());
+                             usage.Refresh(clock.Now());
+                             CPPUNIT_ASSERT(usage.Of("a").Total() > 0);
+                             for (int i = 0; i < 8; ++i) {
+                               clock.Advance(milliseconds(100));
+                               usage.RecordContact("vm", milliseconds(0), clock.Now());
+                               usage.Refresh(clock.Now());
+                             }
+                             CPPUNIT_ASSERT_EQUAL(std::size_t(0), usage.SilentReporters());
+                             CPPUNIT_ASSERT_EQUAL(0.0, usage.Of("a").Total());
+                           });
+
 }  // namespace
 }  // namespace corianderhoist
--- a/tests/unit/serving/admission_test.cpp
+++ b/tests/unit/serving/admission_test.cpp
@@ -1,6 +1,8 @@
 // Admission: a withdrawn key is not admitted after the withdrawal bound, whatever replies the VM
 // gets, and a valid request is not refused as invalid because the state of the VM is outdated.
 #include "serving/admission.h"
+
+#include "base/hash.h"
 #include "serving/fleet_view.h"
 #include "support/test_table.h"
 
@@ -202,7 +204,7 @@
   fleet_view view(DecodeTestPolicy);
   watch_reply reply = Reply(1, "k", 1, milliseconds(0));
   shared_limits limits;
-  limits.workspaces = {{"a", 250}};
+  limits.workspaces = {{"a", 250, 0}};
   reply.limits = {limits};
   view.Apply(reply, clock.Now(), clock.Now());
   admission admission_control({}, view, clock);
@@ -226,43 +228,78 @@
   CPPUNIT_ASSERT(!view.AreLimitsCurrent(clock.Now()));
 });
 
+// Ten VMs with one view, of a workspace with a rate of 10 a second and a burst of 10.
+constexpr std::size_t kVms = 10;
+
+std::vector<admission> MakeAdmissions(const fleet_view& view, const clock_source& clock) {
+  std::vector<admission> made;
+  for (std::size_t i = 0; i < kVms; ++i) {
+    made.emplace_back(admission_settings{.seed = FastHash(std::to_string(i))}, view, clock);
+  }
+  return made;
+}
+
+watch_reply ReplyWithShare(std::uint32_t per_mille) {
+  watch_reply reply = Reply(1, "k", 1, milliseconds(0));
+  shared_limits limits;
+  limits.active_vms = kVms;
+  if (per_mille < 1000) {
+    limits.workspaces = {{"a", per_mille, 0}};
+  }
+  reply.limits = {limits};
+  return reply;
+}
+
 struct lost_cores_case {
   std::string name;
   std::uint32_t per_mille;  ///< Admitted share in the last reply of a core VM.
+  int level;                ///< Admitted by each VM in the last window before the loss.
   int max_first_admitted;   ///< Admitted in the first 100 ms by all ten VMs.
+  int min_admitted;         ///< In 10 s.
+  int max_admitted;         ///< In 10 s.
 };
 
 // The core VMs are lost when the window is nearly used up. If each VM then starts with a token, the
 // sum exceeds the rate (deploy/days/rates-without-core.toml, 32 VMs: 156 requests, 145 allowed).
 const test_table kAfterLoss(
     "rate without core VMs",
-    std::vector<lost_cores_case>{{"not limited before", 1000, 10}, {"limited before", 500, 1}},
+    std::vector<lost_cores_case>{{"not limited before", 1000, 0, 10, 80, 110},
+                                 {"limited before, with callers elsewhere", 500, 0, 1, 0, 110},
+                                 {"limited before, at its level", 500, 6, 30, 80, 132}},
     std::function([](const lost_cores_case& row) {
-      constexpr int kVms = 10;
       manual_clock clock;
       fleet_view view(DecodeTestPolicy);
-      watch_reply reply = Reply(1, "k", 1, milliseconds(0));
-      shared_limits limits;
-      limits.active_vms = kVms;
-      limits.workspaces = {{"a", row.per_mille}};
-      reply.limits = {limits};
+      watch_reply reply = ReplyWithShare(1000);
       view.Apply(reply, clock.Now(), clock.Now());
-      std::vector<admission> admission_controls(kVms, admission({}, view, clock));
+      std::vector<admission> admission_controls = MakeAdmissions(view, clock);
       const policy_workspace& workspace = view.Policy()->Policy().workspaces[0];
+      for (int i = 0; i < row.level; ++i) {
+        for (admission& admission_control : admission_controls) {
+          CPPUNIT_ASSERT(admission_control.TakeRate(workspace));
+        }
+        clock.Advance(milliseconds(800));
+        view.Apply(reply, clock.Now(), clock.Now());
+      }
+      view.Apply(ReplyWithShare(row.per_mille), clock.Now(), clock.Now());
       clock.Advance(milliseconds(2000));
       int first_admitted = 0;
       int admitted = 0;
+      sliding_count in_window;
       for (int i = 0; i < 1000; ++i) {  // Each VM gets 100 requests a second for 10 s.
         clock.Advance(milliseconds(10));
         for (admission& admission_control : admission_controls) {
-          admitted += admission_control.TakeRate(workspace) ? 1 : 0;
+          const bool is_admitted = admission_control.TakeRate(workspace);
+          admitted += is_admitted ? 1 : 0;
+          in_window.Add(is_admitted ? 1 : 0, clock.Now());
         }
         first_admitted = i == 9 ? admitted : first_admitted;
+        // Rate 10 a second, burst 10, 10 % excess.
+        CPPUNIT_ASSERT(in_window.Sum(milliseconds(5000), clock.Now()) <= 66);
       }
       CPPUNIT_ASSERT_MESSAGE(std::to_string(first_admitted),
                              first_admitted <= row.max_first_admitted);
-      // Rate 10 a second.
-      CPPUNIT_ASSERT_MESSAGE(std::to_string(admitted), admitted >= 80 && admitted <= 110);
+      CPPUNIT_ASSERT_MESSAGE(std::to_string(admitted),
+                             admitted >= row.min_admitted && admitted <= row.max_admitted);
     }));
 
 // The rate limit must also hold in a window that began before the core VMs were lost (same day,
@@ -292,15 +329,11 @@
          milliseconds(5000), 6, 18, 66},
     },
     std::function([](const window_case& row) {
-      constexpr std::size_t kVms = 10;
       manual_clock clock;
       fleet_view view(DecodeTestPolicy);
-      watch_reply reply = Reply(1, "k", 1, milliseconds(0));
-      shared_limits limits;
-      limits.active_vms = kVms;
-      reply.limits = {limits};
+      watch_reply reply = ReplyWithShare(1000);
       view.Apply(reply, clock.Now(), clock.Now());
-      std::vector<admission> admission_controls(kVms, admission({}, view, clock));
+      std::vector<admission> admission_controls = MakeAdmissions(view, clock);
       const policy_workspace& workspace = view.Policy()->Policy().workspaces[0];
       const auto send = [&](int requests, milliseconds interval, bool is_disconnected) {
         int admitted = 0;
@@ -317,8 +350,7 @@
       };
       const int admitted_before =
           send(row.requests_before, row.time_before / row.requests_before, false);
-      reply.limits.front().workspaces = {{"a", row.per_mille}};
-      view.Apply(reply, clock.Now(), clock.Now());
+      view.Apply(ReplyWithShare(row.per_mille), clock.Now(), clock.Now());
       constexpr int kDisconnectedSeconds = 4;
       const int admitted_after = send(row.load_per_second * kDisconnectedSeconds,
                                       milliseconds(1000) / row.load_per_second, true);
--- a/tests/unit/serving/limit_schedule_test.cpp
+++ b/tests/unit/serving/limit_schedule_test.cpp
@@ -2,6 +2,8 @@
 // callers, loss of the core VMs, restarts of entry VMs and entry VMs that are cut off. The limit
 // must hold in every window over all VMs, and a workspace well below it must not be refused while
 // core VMs reply.
+#include "base/hash.h"
+#include "fleet/unreported_usage.h"
 #include "fleet/usage_ledger.h"
 #include "serving/admission.h"
 #include "support/test_table.h"
@@ -24,8 +26,11 @@
 // An entry VM admits no requests with a key for longer than this without a reply.
 constexpr milliseconds kLease(4700);
 constexpr milliseconds kMaxCountAge(5000);
+constexpr milliseconds kMinCut(2000);
+constexpr milliseconds kMaxCut(6000);
 constexpr std::size_t kVms = 24;
 constexpr rate_tolerance kTolerance{milliseconds(5000), 0.1, 20};
+constexpr unreported_usage::limits kPermissions{.window = kTolerance.window};
 constexpr workspace_rate kLimit{40, 40};
 constexpr double kNormalDemand = 22;  // Requests per second.
 
@@ -40,7 +45,11 @@
 // The rate limiting state of an entry VM.
 struct vm {
   vm(const clock_source& clock, std::uint64_t number_of_vm)
-      : number(number_of_vm), view(DecodeRateOnly), admission_control({}, view, clock) {
+      : number(number_of_vm),
+        view(DecodeRateOnly),
+        admission_control({.rates = kTolerance, .seed = FastHash(std::to_string(number_of_vm))},
+                          view,
+                          clock) {
     watch_reply reply;
     reply.changes.index = 1;
     reply.changes.policy = {1, PackText("1")};
@@ -58,9 +67,11 @@
   steady_time cut_until{};     // Reaches no core VM before that.
   steady_time replied_at{};    // Last reply of a core VM.
   std::vector<counts> unsent;  // By report interval.
+  std::deque<counts> delivered;
+  steady_time core_known_since{};  // Start of the core VM that has its counts.
 };
 
-enum class vm_cuts { kNone, kUnderLoad };
+enum class vm_cuts { kNone, kUnderLoad, kUnderLoadWithCoreLoss };
 
 class limit_schedule {
  public:
@@ -101,23 +112,31 @@
       demand_factor_ = demand_factor_ > 1 ? 1 : 2.0 + static_cast<double>(random_() % 60) / 10;
       last_change_ = now;
     }
+    const bool is_cut_over =
+        cuts_ != vm_cuts::kUnderLoad || now - last_cut_ > 2 * kTolerance.window + kMaxCut;
     if (IsOneIn(600) && now - last_change_ > kTolerance.window &&
-        now - core_up_at_ > kTolerance.window) {
+        now - core_up_at_ > kTolerance.window && is_cut_over) {
       core_up_at_ = now + milliseconds(300 + random_() % 3000);
       ledger_ = usage_ledger();
+      unreported_ = unreported_usage(kPermissions);
       ledger_started_ = core_up_at_;
       last_change_ = core_up_at_;
     }
-    if (cuts_ == vm_cuts::kUnderLoad && IsOneIn(500) && now - last_cut_ > 2 * kTolerance.window) {
+    const bool is_core_settled =
+        cuts_ != vm_cuts::kUnderLoad || now - core_up_at_ > 2 * kTolerance.window;
+    if (cuts_ != vm_cuts::kNone && IsOneIn(500) && now - last_cut_ > 2 * kTolerance.window &&
+        is_core_settled) {
       last_cut_ = now;
       const auto parts = 2 + random_() % 3;
-      const steady_time until = now + milliseconds(2000 + random_() % 4000);
+      const steady_time until =
+          now + kMinCut + milliseconds(random_() % (kMaxCut - kMinCut).count());
       for (const auto& each : vms_) {
         each->cut_until = IsOneIn(static_cast<unsigned>(parts)) ? until : each->cut_until;
       }
     }
     if (IsOneIn(300)) {
       std::unique_ptr<vm>& lost = vms_[random_() % vms_.size()];
+      unreported_.Forget(NameOf(lost));
       const double weight = lost->weight;
       const steady_time cut_until = lost->cut_until;
       lost = std::make_unique<vm>(clock_, lost->number);
@@ -166,6 +185,7 @@
       last_report_ = now;
       for (const auto& each : vms_) {
         if (now >= each->cut_until) {
+          each->delivered.insert(each->delivered.end(), each->unsent.begin(), each->unsent.end());
           reports_.push_back({now + kOneWayDelay, NameOf(each), std::exchange(each->unsent, {})});
         }
       }
@@ -176,11 +196,18 @@
         if (IsCoreUp() && now - counts.since < kMaxCountAge) {  // A lost core VM loses its counts.
           const steady_time at = is_late ? counts.since : now;
           ledger_.CountWorkspace("a", counts.admitted, counts.refused, at);
+          unreported_.Count(reports_.front().vm, "a", counts.admitted, at);
         }
       }
     }
     if (IsCoreUp() && now - last_watch_ >= kWatchInterval) {
       last_watch_ = now;
+      for (const auto& each : vms_) {
+        if (now >= each->cut_until) {
+          ReportFormerCounts(*each);
+          unreported_.RecordContact(NameOf(each), Since(each->view.LevelAt()), now);
+        }
+      }
       watches_.emplace_back(now + kOneWayDelay, MakeReply());
     }
     for (; !watches_.empty() && watches_.front().first <= now; watches_.pop_front()) {
@@ -193,16 +220,35 @@
     }
   }
 
+  // The first contact with a restarted core VM.
+  void ReportFormerCounts(vm& each) {
+    if (std::exchange(each.core_known_since, ledger_started_) == ledger_started_) {
+      return;
+    }
+    for (const vm::counts& counts : each.delivered) {
+      if (Since(counts.since) < kMaxCountAge) {
+        unreported_.Count(std::to_string(each.number), "a", counts.admitted, counts.since);
+      }
+    }
+    each.delivered.clear();
+  }
+
   watch_reply MakeReply() {
     const steady_time now = clock_.Now();
-    const workspace_usage usage = WithAssumedEarlierUsage(
-        ledger_.UsageOf("a", kTolerance, now), kLimit, kTolerance, Since(ledger_started_));
+    unreported_.SetGrowth("a", GrowthPerVm(kLimit, kTolerance, room_per_mille_, kVms), now);
+    unreported_.Refresh(now);
+    workspace_usage usage = WithAssumedEarlierUsage(ledger_.UsageOf("a", kTolerance, now), kLimit,
+                                                    kTolerance, Since(ledger_started_));
+    for (double& spent : usage.spent) {
+      spent += unreported_.Of("a").Total();
+    }
     const double share = AdmittedShare(usage, kLimit, kTolerance);
     watch_reply reply;
     reply.changes.index = 1;
     shared_limits limits;
     limits.active_vms = kVms;
-    limits.workspaces = {{"a", static_cast<std::uint32_t>(share * 1000)}};
+    room_per_mille_ = share < 1 ? 0 : RoomPerMille(usage, kLimit, kTolerance, room_per_mille_);
+    limits.workspaces = {{"a", static_cast<std::uint32_t>(share * 1000), room_per_mille_}};
     reply.limits = {limits};
     reply.is_counting = Since(ledger_started_) >= kMinCountingTime;
     return reply;
@@ -237,6 +283,8 @@
   manual_clock clock_;
   std::vector<std::unique_ptr<vm>> vms_;
   usage_ledger ledger_;
+  unreported_usage unreported_{kPermissions};
+  std::uint32_t room_per_mille_ = 0;
   steady_time started_;
   steady_time ledger_started_;
   steady_time core_up_at_{};
@@ -264,6 +312,9 @@
         {"200 schedules (seeds 1 to 200)", vm_cuts::kNone, 200},
         {"entry VMs that are cut off do not exceed the rate with the others (seeds 1 to 200)",
          vm_cuts::kUnderLoad, 200},
+        {"entry VMs that are cut off when the core VMs are lost stay within the rate (seeds 1 to "
+         "200)",
+         vm_cuts::kUnderLoadWithCoreLoss, 200},
     },
     std::function([](const schedule_case& row) {
       std::string failed;
