Keep the fleet's requests to an upstream within the limit that it states

Cause: nothing read Server-Limit.

Change: upstream_limits gives each VM an equal part of the limit as short slots at drawn offsets; a slot that is not used ends. The core VMs pass on what one VM hears and that it has ended. A request without any open upstream is refused at once with the time of the next slot.

--- a/src/fleet/fleet_core_observations.cpp
+++ b/src/fleet/fleet_core_observations.cpp
@@ -197,6 +197,9 @@
       }
     }
   }
+  for (const stated_limit& limit : seen.limits) {
+    health_.SetLimit(limit.upstream, limit.per_kilosecond, now);
+  }
   ApplyCounts(seen.workspaces, seen.services, source, now);
   for (const resent_counts& late : seen.late) {
     ApplyCounts(late.workspaces, late.services, source, now - late.age);
--- a/src/fleet/fleet_core_share.cpp
+++ b/src/fleet/fleet_core_share.cpp
@@ -34,6 +34,7 @@
   Append(to.outcomes, from.outcomes);
   Append(to.crashes, from.crashes);
   Append(to.late, from.late);
+  Append(to.limits, from.limits);
   MergeCounts(to.workspaces, from.workspaces);
   MergeCounts(to.services, from.services);
 }
@@ -60,10 +61,11 @@
 }
 
 bool IsUrgent(const observations& seen) {
-  return !seen.crashes.empty() || std::any_of(seen.outcomes.begin(), seen.outcomes.end(),
-                                              [](const attempt_outcome& outcome) {
-                                                return outcome.evidence != attempt_evidence::kGood;
-                                              });
+  return !seen.crashes.empty() || !seen.limits.empty() ||
+         std::any_of(seen.outcomes.begin(), seen.outcomes.end(),
+                     [](const attempt_outcome& outcome) {
+                       return outcome.evidence != attempt_evidence::kGood;
+                     });
 }
 
 }  // namespace
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -96,6 +96,18 @@
   }
 };
 
+/// What an answer of an upstream states about the requests that it takes from all VMs together.
+struct stated_limit {
+  upstream_handle upstream = 0;
+  std::uint64_t per_kilosecond = 0;  ///< Requests per 1,000 s; 0: it states no limit.
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.upstream);
+    visit(2, self.per_kilosecond);
+  }
+};
+
 /// Observations since the last report.
 struct observations {
   std::vector<attempt_outcome> outcomes;
@@ -103,10 +115,11 @@
   std::vector<named_counts> services;
   std::vector<crash_report> crashes;
   std::vector<resent_counts> late;
+  std::vector<stated_limit> limits;
 
   bool IsEmpty() const {
     return outcomes.empty() && workspaces.empty() && services.empty() && crashes.empty() &&
-           late.empty();
+           late.empty() && limits.empty();
   }
 
   template <class Self, class Visitor>
@@ -116,6 +129,7 @@
     visit(3, self.services);
     visit(4, self.crashes);
     visit(5, self.late);
+    visit(6, self.limits);
   }
 };
 
@@ -173,6 +187,8 @@
   bool is_silent = false;     ///< No announcements or good outcomes arrive.
   std::uint32_t running = 0;  ///< Requests in progress for all VMs.
   upstream_trial trial = upstream_trial::kNone;
+  /// Requests per 1,000 s that it takes from all VMs together; 0: it states no limit.
+  std::uint64_t limit_per_kilosecond = 0;
 
   bool operator==(const upstream_condition&) const = default;
 
@@ -184,6 +200,7 @@
     visit(4, self.is_silent);
     visit(5, self.running);
     visit(6, self.trial);
+    visit(7, self.limit_per_kilosecond);
   }
 };
 
--- a/src/fleet/upstream_health_table.cpp
+++ b/src/fleet/upstream_health_table.cpp
@@ -11,6 +11,9 @@
 
 constexpr double kRelativeLatencySmoothingFactor = 0.15;
 constexpr double kProbabilityUnits = 255;
+// Answers from before an upstream stated its limit arrive within this time after the first that
+// states it.
+constexpr milliseconds kLimitSettlingTime(500);
 // Smaller changes of a condition are not published, to limit the number of messages.
 constexpr std::uint32_t kMinPublishedFailingChange = 12;
 constexpr double kMinPublishedLatencyChangeRatio = 0.25;
@@ -48,6 +51,9 @@
 constexpr std::size_t kMaxTrackedRequests = 1000;
 
 bool IsSignificantChange(const upstream_condition& published, const upstream_condition& current) {
+  if (published.limit_per_kilosecond != current.limit_per_kilosecond) {
+    return true;
+  }
   const auto failing_change = published.failing > current.failing
                                   ? published.failing - current.failing
                                   : current.failing - published.failing;
@@ -65,6 +71,9 @@
 
 // Whether requests have to be kept away from the upstream or sent to it, unlike before.
 bool IsUrgentChange(const upstream_condition& published, const upstream_condition& current) {
+  if (published.limit_per_kilosecond != current.limit_per_kilosecond) {
+    return true;
+  }
   return current.failing >= published.failing + kMinPublishedFailingChange ||
          (current.is_silent && !published.is_silent) || current.trial > published.trial;
 }
@@ -118,6 +127,19 @@
   entry.running = running;
 }
 
+void upstream_health_table::SetLimit(upstream_handle upstream,
+                                     std::uint64_t per_kilosecond,
+                                     steady_time now) {
+  observed_.insert(upstream);
+  record& entry = RecordOf(upstream, now);
+  if (per_kilosecond > 0) {
+    entry.limit_heard_at = now;
+  } else if (now - entry.limit_heard_at < kLimitSettlingTime) {
+    return;
+  }
+  entry.limit_per_kilosecond = per_kilosecond;
+}
+
 void upstream_health_table::Retain(const std::set<upstream_handle>& known) {
   std::erase_if(records_, [&](const auto& item) { return !known.contains(item.first); });
   std::erase_if(by_revision_, [&](const auto& item) { return !known.contains(item.second); });
@@ -134,6 +156,7 @@
   condition.relative_latency = static_cast<std::uint32_t>(std::lround(entry.relative_latency));
   condition.running = entry.running;
   condition.trial = entry.trial;
+  condition.limit_per_kilosecond = entry.limit_per_kilosecond;
   condition.is_silent = now - std::max(entry.announced_at, entry.last_good_at) > max_silence &&
                         now - started_ > max_silence;
   return condition;
--- a/src/fleet/upstream_health_table.h
+++ b/src/fleet/upstream_health_table.h
@@ -33,6 +33,8 @@
   void RecordAnnouncement(upstream_handle upstream, steady_time now);
   /// Sets the number of requests in progress at the upstream, summed over all VMs.
   void SetRunning(upstream_handle upstream, std::uint32_t running, steady_time now);
+  /// Records what an answer of the upstream states; 0 for no limit.
+  void SetLimit(upstream_handle upstream, std::uint64_t per_kilosecond, steady_time now);
   /// Discards the records of all upstreams that are not in `known`.
   void Retain(const std::set<upstream_handle>& known);
 
@@ -72,6 +74,8 @@
     upstream_trial trial = upstream_trial::kNone;
     steady_time announced_at;
     steady_time last_good_at;
+    std::uint64_t limit_per_kilosecond = 0;
+    steady_time limit_heard_at{};
     upstream_condition published;
     std::uint64_t revision = 0;
   };
--- a/src/serving/fleet_link.cpp
+++ b/src/serving/fleet_link.cpp
@@ -337,6 +337,13 @@
   ScheduleReport(true);
 }
 
+void fleet_link::NoteLimit(const stated_limit& limit) {
+  std::erase_if(unsent_.limits,
+                [&](const stated_limit& other) { return other.upstream == limit.upstream; });
+  unsent_.limits.push_back(limit);
+  ScheduleReport(true);
+}
+
 void fleet_link::NoteLoad(upstream_handle upstream, std::uint32_t running) {
   if (running == 0) {
     loads_.erase(upstream);
--- a/src/serving/fleet_link.h
+++ b/src/serving/fleet_link.h
@@ -53,6 +53,8 @@
   void NoteService(const std::string& service, service_event event);
   /// Records that a request has crashed an upstream, or that it has succeeded.
   void NoteCrash(const crash_report& note);
+  /// Records what an answer of the upstream states about the requests that it takes.
+  void NoteLimit(const stated_limit& limit);
   /// Records how many requests of this VM are running at the upstream.
   void NoteLoad(upstream_handle upstream, std::uint32_t running);
   /// The number of running requests that was last sent to a core VM.
--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -89,11 +89,39 @@
   return "unknown";
 }
 
+// Records what an answer states about the requests that its upstream takes, and tells the others.
+void NoteLimit(serving_context& context,
+               upstream_handle upstream,
+               const upstream_incarnation& incarnation,
+               const upstream_statement& statement,
+               const answer_head& head) {
+  const bool is_unreadable =
+      !statement.limit_per_kilosecond &&
+      FindHeader(head.headers, context.settings.upstreams.statements.limit) != nullptr;
+  if (is_unreadable) {
+    return;  // It neither states a limit nor that there is none.
+  }
+  const auto former = context.limits.LimitOf(upstream);
+  if (!context.limits.Note(upstream, statement.limit_per_kilosecond)) {
+    return;
+  }
+  context.link.NoteLimit({upstream, statement.limit_per_kilosecond.value_or(0)});
+  if (former != context.limits.LimitOf(upstream)) {
+    log_event(log_level::kInfo, "upstream_limit")
+        .Field("upstream", incarnation.id)
+        .Field("per_kilosecond", std::int64_t(statement.limit_per_kilosecond.value_or(0)))
+        .Field("former_per_kilosecond", std::int64_t(former.value_or(0)))
+        .Field("active_vms", std::uint64_t(context.view.Limits().active_vms));
+  }
+}
+
 // Records and logs what an answer says about its upstream.
 void NoteStatement(serving_context& context,
+                   upstream_handle upstream,
                    const upstream_incarnation& incarnation,
                    const answer_head& head) {
   const upstream_statement statement = ReadStatement(head, context.settings.upstreams.statements);
+  NoteLimit(context, upstream, incarnation, statement, head);
   if (statement.IsEmpty()) {
     return;
   }
@@ -140,6 +168,7 @@
       connections(time),
       tracker(shared_view, shared_link, settings.place, settings.vm, time),
       statements(time, FastHash(RandomBytes(16))),
+      limits(shared_view, time, FastHash(settings.vm)),
       random(FastHash(RandomBytes(16))),
       drain(settings.drain) {}
 
@@ -327,6 +356,11 @@
       NoteKeptAway(context_, incarnation);
       continue;
     }
+    if (!context_.limits.MaySend(upstream->entry.handle)) {
+      static counter& over_limit = metrics::Instance().Counter("upstream_limits.kept_away");
+      over_limit.Add();
+      continue;
+    }
     placement_candidate candidate = context_.tracker.CandidateOf(*upstream, may_fail);
     candidate.has_connection = context_.connections.Has(upstream->entry.handle, MaxIdleTime());
     candidates.push_back(candidate);
@@ -433,10 +467,11 @@
   const std::weak_ptr<request_flow> weak = weak_from_this();
   upstream_call::events events;
   events.may_send = [this_attempt, &context = context_] {
-    return context.statements.MaySend(this_attempt->incarnation);
+    return context.statements.MaySend(this_attempt->incarnation) &&
+           context.limits.TakeSlot(this_attempt->upstream);
   };
   events.on_own_head = [this_attempt, &context = context_](const answer_head& head) {
-    NoteStatement(context, this_attempt->incarnation, head);
+    NoteStatement(context, this_attempt->upstream, this_attempt->incarnation, head);
   };
   events.on_sent = [weak, is_repeat] {
     if (const auto self = weak.lock()) {
@@ -786,8 +821,12 @@
 milliseconds request_flow::TimeUntilOpen() const {
   std::optional<milliseconds> first;
   for (const known_upstream* upstream : context_.view.UpstreamsOf(service_)) {
-    const auto time = context_.statements.TimeUntilOpen(IncarnationOf(upstream->entry));
-    if (time && (!first || *time < *first)) {
+    const auto stated = context_.statements.TimeUntilOpen(IncarnationOf(upstream->entry));
+    if (!stated) {
+      continue;
+    }
+    const auto time = std::max(*stated, context_.limits.TimeUntilOpen(upstream->entry.handle));
+    if (!first || time < *first) {
       first = time;
     }
   }
--- a/src/serving/request_flow.h
+++ b/src/serving/request_flow.h
@@ -14,6 +14,7 @@
 #include "serving/repeat_budget.h"
 #include "serving/transfer_cost.h"
 #include "serving/upstream_call.h"
+#include "serving/upstream_limits.h"
 #include "serving/upstream_statements.h"
 #include "serving/upstream_tracker.h"
 
@@ -69,6 +70,7 @@
   connection_cache connections;
   upstream_tracker tracker;
   upstream_statements statements;
+  upstream_limits limits;
   std::mt19937_64 random;
   std::unordered_map<request_flow*, std::shared_ptr<request_flow>> flows;
   /// Requests that have ended while another attempt still runs. They are owned here, since that
--- a/src/serving/serving_vm.cpp
+++ b/src/serving/serving_vm.cpp
@@ -138,6 +138,7 @@
     });
     context_->tracker.Sweep();
     context_->statements.Sweep();
+    context_->limits.Sweep();
   }
   if (context_->drain.HasBegun() && !has_drained_) {
     ContinueDrain();
--- a/src/serving/upstream_statements.cpp
+++ b/src/serving/upstream_statements.cpp
@@ -14,6 +14,8 @@
 
 constexpr int kServiceUnavailableStatus = 503;
 constexpr std::string_view kWhitespace = " \t";
+// More than a fleet sends to one upstream.
+constexpr std::int64_t kMaxPerKilosecond = 1'000'000'000;
 constexpr std::size_t kMaxKeptValueBytes = 64;  // Of an invalid value, for the log.
 // The clocks of VM and upstream may run at different rates.
 constexpr int kClockRateTolerance = 1000;  // One part in this many.
@@ -51,8 +53,8 @@
          std::all_of(text.begin(), text.end(), [](char c) { return c >= '0' && c <= '9'; });
 }
 
-// Reads seconds with an optional fraction, rounded up to milliseconds.
-std::optional<milliseconds> ReadSeconds(std::string_view text) {
+// Reads a decimal number, rounded up to thousandths and cut to `max`.
+std::optional<std::int64_t> ReadThousandths(std::string_view text, std::int64_t max) {
   const std::size_t point = text.find('.');
   const std::string_view whole = text.substr(0, point);
   const std::string_view fraction =
@@ -60,19 +62,26 @@
   if (!IsDigits(whole) || !IsDigits(fraction)) {
     return std::nullopt;
   }
-  std::int64_t seconds = 0;
-  const auto parsed = std::from_chars(whole.data(), whole.data() + whole.size(), seconds);
-  if (parsed.ec != std::errc() || std::chrono::seconds(seconds) >= kMaxClosedTime) {
-    return kMaxClosedTime;
+  constexpr std::int64_t kThousand = 1000;
+  std::int64_t units = 0;
+  const auto parsed = std::from_chars(whole.data(), whole.data() + whole.size(), units);
+  if (parsed.ec != std::errc() || units >= max / kThousand) {
+    return max;
   }
-  constexpr std::size_t kMillisecondDigits = 3;
+  constexpr std::size_t kThousandthDigits = 3;
   std::int64_t thousandths = 0;
-  for (std::size_t i = 0; i < kMillisecondDigits; ++i) {
+  for (std::size_t i = 0; i < kThousandthDigits; ++i) {
     thousandths = thousandths * 10 + (i < fraction.size() ? fraction[i] - '0' : 0);
   }
   const bool has_remainder =
-      fraction.find_first_not_of('0', kMillisecondDigits) != std::string_view::npos;
-  return std::chrono::seconds(seconds) + milliseconds(thousandths + (has_remainder ? 1 : 0));
+      fraction.find_first_not_of('0', kThousandthDigits) != std::string_view::npos;
+  return units * kThousand + thousandths + (has_remainder ? 1 : 0);
+}
+
+// Reads seconds with an optional fraction, rounded up to milliseconds.
+std::optional<milliseconds> ReadSeconds(std::string_view text) {
+  const auto thousandths = ReadThousandths(text, milliseconds(kMaxClosedTime).count());
+  return thousandths ? std::optional(milliseconds(*thousandths)) : std::nullopt;
 }
 
 }  // namespace
@@ -89,6 +98,14 @@
       note_invalid(value);
     }
   }
+  for (const std::string_view value : Elements(head.headers, names.limit)) {
+    if (const auto limit = ReadThousandths(value, kMaxPerKilosecond)) {
+      const auto lowest = statement.limit_per_kilosecond.value_or(kMaxPerKilosecond);
+      statement.limit_per_kilosecond = std::min<std::uint64_t>(lowest, *limit);
+    } else {
+      note_invalid(value);
+    }
+  }
   if (head.status != kServiceUnavailableStatus) {
     return statement;
   }
--- a/src/serving/upstream_statements.h
+++ b/src/serving/upstream_statements.h
@@ -22,15 +22,19 @@
 struct statement_header_names {
   std::string leaving;      ///< "1" in every answer of an upstream that leaves.
   std::string retry_after;  ///< In a 503: seconds for which the upstream accepts no requests.
+  std::string limit;        ///< Requests a second that the upstream takes from all VMs together.
 };
 
 /// The statements of one answer.
 struct upstream_statement {
   bool is_leaving = false;
   std::chrono::milliseconds closed_for{};  ///< Zero: the upstream accepts requests.
+  /// Requests per 1,000 s that the upstream takes from all VMs together, as long as it says so.
+  std::optional<std::uint64_t> limit_per_kilosecond;
   /// Values that are not valid; they are ignored.
   std::vector<std::string> invalid_values;
 
+  /// Whether it says nothing about the upstream itself. The limit is not part of that.
   bool IsEmpty() const { return !is_leaving && closed_for.count() == 0 && invalid_values.empty(); }
 };
 
@@ -38,7 +42,8 @@
 /// excludes an upstream for longer than an operator takes to notice it.
 inline constexpr std::chrono::hours kMaxClosedTime(24);
 
-/// Reads the statements of an answer. Of several values the longest time is taken.
+/// Reads the statements of an answer. Of several values the longest time and the lowest limit are
+/// taken.
 upstream_statement ReadStatement(const answer_head& head, const statement_header_names& names);
 
 /// One run of an upstream's process, independent of its place in the roster. A roster handle does
--- a/tests/unit/serving/upstream_statements_flow_test.cpp
+++ b/tests/unit/serving/upstream_statements_flow_test.cpp
@@ -117,6 +117,36 @@
                            upstream.Requests().size());
     }));
 
+const test_table kStatedLimit(
+    "upstream statement",
+    "a stated limit bounds the requests until an answer states none",
+    [] {
+      serving_fixture fixture;
+      std::atomic<bool> is_limited = true;
+      scripted_upstream& upstream =
+          fixture.Add("u1", "reads", [&is_limited](const scripted_request& request) {
+            return Answers(200, is_limited ? "Server-Limit: 0.5\r\n" : "")(request);
+          });
+      fixture.Start();
+      CPPUNIT_ASSERT_EQUAL(200, fixture.Call({.id = "first"}).status);
+      constexpr int kRequests = 30;
+      for (int i = 0; i < kRequests; ++i) {
+        const caller_answer answer = fixture.Call({.id = "limited" + std::to_string(i)});
+        CPPUNIT_ASSERT(answer.status == 200 || !answer.Header("Retry-After").empty());
+      }
+      CPPUNIT_ASSERT(upstream.Requests().size() <= 3);
+      is_limited = false;
+      bool is_served = false;
+      for (int i = 0; i < 200 && !is_served; ++i) {
+        is_served = fixture.Call({.id = "ended" + std::to_string(i)}).status == 200;
+        std::this_thread::sleep_for(milliseconds(50));
+      }
+      CPPUNIT_ASSERT(is_served);
+      for (int i = 0; i < kRequests; ++i) {
+        CPPUNIT_ASSERT_EQUAL(200, fixture.Call({.id = "free" + std::to_string(i)}).status);
+      }
+    });
+
 const test_table kLateStatement(
     "upstream statement",
     "leaving in a late response to the previous request on the connection",
--- a/tests/unit/serving/upstream_statements_test.cpp
+++ b/tests/unit/serving/upstream_statements_test.cpp
@@ -20,11 +20,45 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const statement_header_names kNames = {.leaving = "Server-Leaving", .retry_after = "Retry-After"};
+const statement_header_names kNames = {.leaving = "Server-Leaving",
+                                       .retry_after = "Retry-After",
+                                       .limit = "Server-Limit"};
 constexpr std::uint64_t kSeed = 1;
 
 // ---- Values ----
 
+struct limit_value_case {
+  std::string name;
+  header_fields headers;
+  std::optional<std::uint64_t> per_kilosecond;
+  std::size_t invalid_values = 0;
+};
+
+const test_table kLimitValues(
+    "statement value",
+    std::vector<limit_value_case>{
+        {"no limit", {}, std::nullopt},
+        {"a whole limit", {{"Server-Limit", "12"}}, 12'000},
+        {"a limit with a fraction", {{"server-limit", " 7.4 "}}, 7400},
+        {"a limit below one thousandth", {{"Server-Limit", "0.0001"}}, 1},
+        {"a limit of zero", {{"Server-Limit", "0"}}, 0},
+        {"a limit too large to count", {{"Server-Limit", std::string(300, '9')}}, 1'000'000'000},
+        {"several limits", {{"Server-Limit", "9"}, {"Server-Limit", "4, 6"}}, 4000},
+        {"a limit and an unreadable one", {{"Server-Limit", "9"}, {"Server-Limit", "x"}}, 9000, 1},
+        {"a negative limit", {{"Server-Limit", "-3"}}, std::nullopt, 1},
+        {"a limit that is no number", {{"Server-Limit", "nan"}}, std::nullopt, 1},
+        {"a limit with an exponent", {{"Server-Limit", "1e3"}}, std::nullopt, 1},
+    },
+    std::function([](const limit_value_case& row) {
+      for (const int status : {200, 500, 503}) {
+        const upstream_statement statement =
+            ReadStatement({.status = status, .headers = row.headers}, kNames);
+        CPPUNIT_ASSERT(statement.limit_per_kilosecond == row.per_kilosecond);
+        CPPUNIT_ASSERT_EQUAL(row.invalid_values, statement.invalid_values.size());
+        CPPUNIT_ASSERT(!statement.is_leaving && statement.closed_for == milliseconds(0));
+      }
+    }));
+
 struct value_case {
   std::string name;
   int status;
