Tests: odd announcements are refused and end nothing

Another operator reported that an entry that was nested very deeply, had a number too large or a port out of range ended the processes that read it. Here such an announcement is refused with 400 and names no upstream: Qt's parser bounds the nesting, numbers are checked against exact integers, ports against 16 bits.

--- a/tests/unit/platform/decoding_test.cpp
+++ b/tests/unit/platform/decoding_test.cpp
@@ -114,6 +114,15 @@
     R"({"address":"10.128.0.9:8080","born":1700000000123,"info":{"service":"s","version":"v1",)"
     R"("zone":"z","max_concurrency":4},"status":{"state":"ready","seq":4,"warmup_left_ms":0}})";
 
+// Tables in tables, which a recursive parser answers with the end of its stack.
+std::string Nested(int depth) {
+  std::string text;
+  for (int i = 0; i < depth; ++i) {
+    text += R"({"a":)";
+  }
+  return text + "0" + std::string(static_cast<std::size_t>(depth), '}');
+}
+
 struct notice_case {
   std::string name;
   std::string from;
@@ -141,6 +150,18 @@
         {"a service that is a list", R"("service":"s")", R"("service":["s"])"},
         {"no address", R"("address":"10.128.0.9:8080",)", ""},
         {"an invalid address", "10.128.0.9:8080", "somewhere"},
+        {"a port out of range", "10.128.0.9:8080", "10.128.0.9:99999"},
+        {"a port that does not fit a number", "10.128.0.9:8080",
+         "10.128.0.9:" + std::string(400, '9')},
+        {"a negative port", "10.128.0.9:8080", "10.128.0.9:-1"},
+        {"a sequence too large for a number", R"("seq":4)", R"("seq":1e999)"},
+        {"a sequence beyond exact integers", R"("seq":4)", R"("seq":99999999999999999999)"},
+        {"slots beyond every machine", R"("max_concurrency":4)", R"("max_concurrency":4294967297)"},
+        {"a start time beyond exact integers", "1700000000123", "1e300"},
+        {"a state nested deeply", R"("ready")",
+         std::string(100'000, '[') + std::string(100'000, ']')},
+        {"an unclosed nesting", R"("seq":4)", R"("seq":)" + std::string(1'000'000, '[')},
+        {"tables nested deeply", R"("seq":4)", R"("seq":)" + Nested(50'000)},
         {"info that is a string", R"("info":{)", R"("info":"x","other":{)"},
         {"bytes that are not JSON", "{", "\xff\xfe{"},
     },
