Recover a replica of core VMs in its process after a refused write

Cause: replica::driver::StopWithFailure ended the replica until the process was restarted, so refused writes that never overlapped added up to a lost majority. Class: a passing error that ends a part of a process for good.

Change: the replica still ends with the first refused write (no vote, lease, acknowledgement or leadership). Then it closes its files, opens the folder again after a growing, drawn pause of at most 2 s, and begins anew from what the disk has, with its identity and vote. What was read is written again as new files and synced first, since it may only be in the page cache. A replica that recovers never founds a group. Control programs and coordinators still end, and are restarted by their supervisor.

Evidence: 4,000 power cuts after refused writes lose nothing that was recovered; the variant without the rewrite does. Three rounds of refused state writes in a group of three: proposals go on, each applied once.

--- a/src/consensus/replica.h
+++ b/src/consensus/replica.h
@@ -39,6 +39,9 @@
 };
 
 struct replica_settings {
+  /// Whether the replica recovers by itself after a failed write. Otherwise it stays failed until
+  /// the process is restarted.
+  bool recovers_in_process = false;
   std::string group;  ///< Used in log events, for example "control" or "coordinator/tbilisi".
   std::string name;   ///< This member's VM name.
   std::string role;   ///< Certificate role that may call `raft.*`.
--- a/src/consensus/replica_calls.cpp
+++ b/src/consensus/replica_calls.cpp
@@ -30,14 +30,14 @@
 rpc_failure replica::driver::NotLeader() const {
   const std::string leader = core_->LeaderName();
   return {error_kind::kNotLeader,
-          is_stopped_ ? "the replica has stopped"
-                      : (leader.empty() ? "no leader is known" : "the leader is " + leader),
-          is_stopped_ ? std::string() : leader};
+          !IsRunning() ? "the replica has stopped"
+                       : (leader.empty() ? "no leader is known" : "the leader is " + leader),
+          !IsRunning() ? std::string() : leader};
 }
 
 void replica::driver::Propose(std::string command, proposal_callback done) {
   loop_.Post([this, command = std::move(command), done = std::move(done)]() mutable {
-    const auto index = is_stopped_ ? std::nullopt : core_->Propose(std::move(command));
+    const auto index = !IsRunning() ? std::nullopt : core_->Propose(std::move(command));
     if (!index) {
       return done(NotLeader());
     }
@@ -49,7 +49,7 @@
 void replica::driver::ReadBarrier(proposal_callback done) {
   loop_.Post([this, done = std::move(done)]() mutable {
     const std::uint64_t token = next_read_++;
-    if (is_stopped_ || !core_->RequestReadIndex(token)) {
+    if (!IsRunning() || !core_->RequestReadIndex(token)) {
       return done(NotLeader());
     }
     reads_[token] = std::move(done);
@@ -83,7 +83,7 @@
 void replica::driver::ChangeMembership(std::function<membership_result(consensus_core&)> change,
                                        proposal_callback done) {
   loop_.Post([this, change = std::move(change), done = std::move(done)]() mutable {
-    const auto outcome = is_stopped_ ? membership_result::kNotLeader : change(*core_);
+    const auto outcome = !IsRunning() ? membership_result::kNotLeader : change(*core_);
     if (outcome == membership_result::kNotLeader) {
       return done(NotLeader());
     }
@@ -98,7 +98,7 @@
 // Requests the replica id of the learner before the membership change is proposed.
 void replica::driver::AddLearner(const replica_member& member, proposal_callback done) {
   loop_.Post([this, member, done = std::move(done)]() mutable {
-    if (is_stopped_ || !core_->IsLeader()) {
+    if (!IsRunning() || !core_->IsLeader()) {
       return done(NotLeader());
     }
     raft_message request;
@@ -181,7 +181,8 @@
   const core_log& log = core_->Log();
   lease_end_ = core_->LeaseEnd().time_since_epoch().count();
   leading_term_ = core_->IsLeader() ? core_->Term() : 0;
-  fresh_at_ = core_->FreshAt().time_since_epoch().count();
+  // What was complete up to a time before a recovery stays so.
+  fresh_at_ = std::max<std::int64_t>(fresh_at_, core_->FreshAt().time_since_epoch().count());
   RemoveStaleChannels();
   {
     const std::lock_guard guard(status_lock_);
@@ -205,7 +206,7 @@
 }
 
 void replica::driver::PublishLeadership() {
-  const bool is_leader = !is_stopped_ && core_->IsLeader();
+  const bool is_leader = IsRunning() && core_->IsLeader();
   if (std::exchange(was_leader_, is_leader) == is_leader) {
     return;
   }
--- a/src/consensus/replica_driver.cpp
+++ b/src/consensus/replica_driver.cpp
@@ -15,6 +15,11 @@
 constexpr milliseconds kMaxTickInterval(25);
 constexpr milliseconds kMinTickInterval(5);
 constexpr int kTicksPerHeartbeat = 4;
+// A disk that has room again is used within the larger pause. A disk that stays full costs one
+// attempt and one line of the log each.
+constexpr milliseconds kMinRecoveryPause(250);
+constexpr milliseconds kMaxRecoveryPause(2000);
+constexpr int kMaxRecoveryDoublings = 3;
 // Timeout of a snapshot part in multiples of the election timeout: a part of 1 MiB can take long on
 // a shared link.
 constexpr int kSnapshotTimeoutElectionTimeouts = 10;
@@ -71,6 +76,7 @@
   stored_state stored = store_->TakeRecovered();
   if (stored.last_snapshot) {
     application_.restore(stored.last_snapshot->data);
+    applied_index_ = stored.last_snapshot->index;
   }
   core_ = std::make_unique<consensus_core>(MakeCoreSettings(settings_), std::move(stored),
                                            clock_.Now());
@@ -128,7 +134,7 @@
 }
 
 void replica::driver::Tick() {
-  if (is_stopped_) {
+  if (!IsRunning()) {
     return;
   }
   core_->Tick(clock_.Now());
@@ -140,7 +146,7 @@
 }
 
 void replica::driver::OnCall(raft_message request, rpc_callback<raft_message> respond) {
-  if (is_stopped_ || !is_started_) {
+  if (!IsRunning() || !is_started_) {
     return respond(rpc_failure{error_kind::kShuttingDown, "the replica does not run", {}});
   }
   request.call = next_call_++;
@@ -168,7 +174,7 @@
 
 void replica::driver::Flush() {
   is_flush_posted_ = false;
-  while (!is_stopped_) {
+  while (IsRunning()) {
     core_output output = core_->TakeOutput();
     if (output.IsEmpty()) {
       break;
@@ -176,7 +182,7 @@
     HandleOutput(std::move(output));
     CompactIfDue();
   }
-  if (!is_stopped_) {
+  if (IsRunning()) {
     PublishStatus();
   }
 }
@@ -186,8 +192,9 @@
     StartWrite(std::move(*output.write));
   }
   SendAll(std::move(output.messages));
-  if (output.restore) {
+  if (output.restore && output.restore->index > applied_index_) {
     application_.restore(output.restore->data);
+    applied_index_ = output.restore->index;
   }
   Apply(output.committed);
   FinishReads(output.confirmed_reads, true);
@@ -207,23 +214,24 @@
 }
 
 void replica::driver::OnWritten(std::uint64_t sequence, const std::string& failure) {
-  if (is_stopped_) {
+  if (!IsRunning()) {
     return;
   }
   if (!failure.empty()) {
     return StopWithFailure(failure);
   }
+  failed_recoveries_ = 0;
   core_->WriteDone(sequence, clock_.Now());
   ScheduleFlush();
 }
 
 // After a failed write the content of the files is unknown, and a second sync could report success
-// although data was lost. The replica stops until the process is restarted.
+// although data was lost. The replica ends, and begins anew from what the disk has.
 void replica::driver::StopWithFailure(const std::string& cause) {
   log_event(log_level::kError, "replica_storage_failed")
       .Field("group", settings_.group)
       .Field("cause", cause);
-  is_stopped_ = true;
+  has_failed_ = true;
   channels_.clear();
   FailPendingCalls("storage failed: " + cause);
   lease_end_ = 0;
@@ -235,6 +243,81 @@
     status_.leader.clear();
   }
   PublishLeadership();
+  if (settings_.recovers_in_process) {
+    ScheduleRecovery();
+  }
+}
+
+void replica::driver::ScheduleRecovery() {
+  const milliseconds longest =
+      std::min(kMinRecoveryPause * (1 << std::min(failed_recoveries_, kMaxRecoveryDoublings)),
+               kMaxRecoveryPause);
+  ++failed_recoveries_;
+  // Drawn from the upper half, so that replicas whose disks had room at once do not begin together.
+  const auto drawn =
+      static_cast<std::int64_t>(RandomId() % static_cast<std::uint64_t>(longest.count() / 2));
+  loop_.After(longest / 2 + milliseconds(drawn), [this] {
+    if (!is_stopped_) {
+      BeginRecovery();
+    }
+  });
+}
+
+void replica::driver::BeginRecovery() {
+  disk_loop_.Post([this] {
+    const auto stored = std::make_shared<stored_state>();
+    const std::string failure = Recover(
+        [&]() -> result<std::string> {
+          store_.reset();
+          files_.reset();
+          BOOST_LEAF_ASSIGN(files_, file_disk::Open(settings_.folder));
+          BOOST_LEAF_ASSIGN(store_, replica_store::Open(*files_, RandomId()));
+          BOOST_LEAF_CHECK(store_->Rewrite());
+          *stored = store_->TakeRecovered();
+          return std::string();
+        },
+        [](const error& cause) { return cause.detail; });
+    loop_.Post([this, stored, failure] { FinishRecovery(*stored, failure); });
+  });
+}
+
+void replica::driver::FinishRecovery(stored_state& stored, const std::string& failure) {
+  if (is_stopped_) {
+    return;
+  }
+  if (!failure.empty()) {
+    log_event(log_level::kWarning, "replica_recovery_failed")
+        .Field("group", settings_.group)
+        .Field("attempts", failed_recoveries_)
+        .Field("cause", failure);
+    const std::lock_guard guard(status_lock_);
+    status_.failure = failure;
+    return ScheduleRecovery();
+  }
+  if (stored.last_snapshot && stored.last_snapshot->index > applied_index_) {
+    application_.restore(stored.last_snapshot->data);
+    applied_index_ = stored.last_snapshot->index;
+  }
+  // The group exists or is founded by others: a replica that lost its folder must not found
+  // another.
+  core_settings recovered = MakeCoreSettings(settings_);
+  recovered.initial_members.clear();
+  core_ = std::make_unique<consensus_core>(std::move(recovered), std::move(stored), clock_.Now());
+  has_failed_ = false;
+  ++recoveries_;
+  channels_members_index_ = 0;
+  compaction_requested_index_ = 0;
+  {
+    const std::lock_guard guard(status_lock_);
+    status_.failure.clear();
+  }
+  log_event(log_level::kInfo, "replica_recovered")
+      .Field("group", settings_.group)
+      .Field("term", core_->Term())
+      .Field("last_index", core_->Log().LastIndex())
+      .Field("applied_index", applied_index_);
+  PublishStatus();
+  Tick();
 }
 
 void replica::driver::SendAll(std::vector<raft_message> messages) {
@@ -260,9 +343,10 @@
       settings_.election_timeout * (is_snapshot ? kSnapshotTimeoutElectionTimeouts : 1);
   channel->Call<raft_message>(
       MethodOf(request.kind), request, timeout,
-      [this, peer = request.to](const rpc_result<raft_message>& reply) {
+      [this, peer = request.to, life = recoveries_](const rpc_result<raft_message>& reply) {
         const auto* answer = std::get_if<raft_message>(&reply);
-        if (is_stopped_ || answer == nullptr || answer->from != peer || !IsAnswer(answer->kind)) {
+        if (!IsRunning() || answer == nullptr || answer->from != peer || !IsAnswer(answer->kind) ||
+            life != recoveries_) {
           return;
         }
         core_->Receive(*answer, clock_.Now());
@@ -307,6 +391,12 @@
 
 void replica::driver::Apply(const std::vector<log_entry>& entries) {
   for (const log_entry& entry : entries) {
+    // After a recovery the application is ahead of the log: committed entries are not applied
+    // twice.
+    if (entry.index <= applied_index_) {
+      continue;
+    }
+    applied_index_ = entry.index;
     std::string applied;
     if (entry.kind == entry_kind::kCommand) {
       applied = application_.apply(entry.index, entry.data);
@@ -327,6 +417,9 @@
 
 void replica::driver::CompactIfDue() {
   const std::uint64_t applied_index = core_->AppliedIndex();
+  if (applied_index != applied_index_) {
+    return;  // The application is ahead, so its snapshot would not be that of this index.
+  }
   const std::uint64_t last = std::max(core_->Log().SnapshotIndex(), compaction_requested_index_);
   if (applied_index >= last + kSnapshotIntervalEntries) {
     compaction_requested_index_ = applied_index;
--- a/src/consensus/replica_driver.h
+++ b/src/consensus/replica_driver.h
@@ -78,6 +78,10 @@
   void PublishStatus();
   void PublishLeadership();
   void StopWithFailure(const std::string& cause);
+  void ScheduleRecovery();
+  void BeginRecovery();
+  void FinishRecovery(stored_state& stored, const std::string& failure);
+  bool IsRunning() const { return !is_stopped_ && !has_failed_; }
   rpc_failure NotLeader() const;
   std::string RoleName() const;
 
@@ -87,7 +91,7 @@
   const clock_source& clock_;
 
   std::unique_ptr<file_disk> files_;
-  std::unique_ptr<replica_store> store_;  ///< Used by the disk thread after `Load`.
+  std::unique_ptr<replica_store> store_;  ///< Used by the disk thread after `Load`, like `files_`.
   std::unique_ptr<consensus_core> core_;
   std::map<std::string, std::unique_ptr<rpc_channel>> channels_;
   std::uint64_t channels_members_index_ = 0;
@@ -98,9 +102,13 @@
   std::uint64_t next_call_ = 1;
   std::uint64_t next_read_ = 1;
   std::uint64_t compaction_requested_index_ = 0;
+  std::uint64_t applied_index_ = 0;  ///< Of the application, which a recovery leaves as it is.
+  std::uint64_t recoveries_ = 0;
+  int failed_recoveries_ = 0;  ///< Since the last successful write.
   bool is_flush_posted_ = false;
   bool is_started_ = false;
   bool is_stopped_ = false;
+  bool has_failed_ = false;  ///< A write has failed, and the replica has not recovered.
   bool was_leader_ = false;
 
   mutable std::mutex status_lock_;  ///< Guards `status_` and `observers_`.
--- a/src/fleet/fleet_core.cpp
+++ b/src/fleet/fleet_core.cpp
@@ -92,6 +92,7 @@
   group.group = "fleet";
   group.name = settings_.name;
   group.role = "core";
+  group.recovers_in_process = true;
   group.folder = settings_.folder;
   group.heartbeat = kHeartbeatInterval;
   group.election_timeout = kElectionTimeout;
--- a/src/storage/replica_store.cpp
+++ b/src/storage/replica_store.cpp
@@ -58,6 +58,21 @@
   return ReconcileLogWithSnapshot();
 }
 
+result<void> replica_store::Rewrite() {
+  std::vector<std::string> names = {kStateName};
+  if (recovered_.last_snapshot) {
+    names.push_back(kSnapshotName);
+  }
+  if (!segments_.empty()) {
+    names.push_back(segments_.back().name);
+  }
+  for (const std::string& name : names) {
+    BOOST_LEAF_AUTO(bytes, files_.Read(name));
+    BOOST_LEAF_CHECK(ReplaceFile(files_, name, bytes));
+  }
+  return {};
+}
+
 result<void> replica_store::RecoverState(const std::vector<std::string>& names,
                                          std::uint64_t new_replica_id) {
   if (Contains(names, kStateName)) {
--- a/src/storage/replica_store.h
+++ b/src/storage/replica_store.h
@@ -22,6 +22,11 @@
   /// `kStorageFailed`, or with `kStorageDamaged` if synced data is missing or corrupt.
   static result<std::unique_ptr<replica_store>> Open(disk& files, std::uint64_t new_replica_id);
 
+  /// Writes state, snapshot and last segment again, as new files. Needed if an earlier write of
+  /// this process has failed: what `Open` read may then come from the page cache and not be on the
+  /// disk, although a further sync would report success. Fails with `kStorageFailed`.
+  result<void> Rewrite();
+
   /// Returns the content recovered by `Open`. May be called once.
   stored_state TakeRecovered() { return std::move(recovered_); }
 
--- a/tests/support/replica_group.cpp
+++ b/tests/support/replica_group.cpp
@@ -75,6 +75,7 @@
       std::filesystem::temp_directory_path() / ("corianderhoist-group-" + ToHex(RandomBytes(8)));
   settings_.group = "test";
   settings_.role = "control";
+  settings_.recovers_in_process = true;
   settings_.election_timeout = election_timeout;
   const std::vector<std::uint16_t> ports = FindFreePorts(size + spare_nodes);
   for (std::size_t i = 0; i < size + spare_nodes; ++i) {
--- a/tests/unit/consensus/replica_test.cpp
+++ b/tests/unit/consensus/replica_test.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <filesystem>
 #include <future>
 #include <mutex>
 #include <set>
@@ -222,5 +223,45 @@
       CPPUNIT_ASSERT(!IsAccepted(alone));
     });
 
+// A folder in the place of the temporary state file refuses each write of the state.
+void RefuseStateWrites(replica_group& group, std::size_t index, bool is_refused) {
+  const auto path = group.At(index).folder / "state.new";
+  if (is_refused) {
+    std::filesystem::create_directory(path);
+  } else {
+    std::filesystem::remove(path);
+  }
+}
+
+const test_table kRefusedWrites(
+    "replica",
+    "a replica whose writes were refused takes part again without a restart, round after round",
+    [] {
+      replica_group group(3);
+      group.StartAll();
+      int proposed = 0;
+      for (int round = 0; round < 3; ++round) {
+        const std::size_t leader = group.WaitForLeader();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(20), ProposeMany(group, leader, proposed, 20));
+        proposed += 20;
+        const std::size_t refused = (leader + 1) % 3;
+        RefuseStateWrites(group, refused, true);
+        group.Stop(leader);  // The election makes the others write their state.
+        WaitUntil("the replica has failed",
+                  [&] { return group.At(refused).member->Status().role == "failed"; });
+        CPPUNIT_ASSERT(!IsAccepted(group.ProposeAt(refused, "never")));
+        CPPUNIT_ASSERT(!group.At(refused).member->HasLease());
+        RefuseStateWrites(group, refused, false);
+        const std::size_t next = group.WaitForLeader();
+        CPPUNIT_ASSERT_EQUAL(std::size_t(20), ProposeMany(group, next, proposed, 20));
+        proposed += 20;
+        WaitForCommands(group, refused, static_cast<std::size_t>(proposed));
+        CPPUNIT_ASSERT(group.At(refused).application->Commands() == CommandRange(0, proposed));
+        CPPUNIT_ASSERT(group.At(refused).member->Status().failure.empty());
+        group.Start(leader);
+        WaitForCommands(group, leader, static_cast<std::size_t>(proposed));
+      }
+    });
+
 }  // namespace
 }  // namespace corianderhoist
--- a/tests/unit/storage/storage_test.cpp
+++ b/tests/unit/storage/storage_test.cpp
@@ -225,6 +225,56 @@
       }
     });
 
+struct rewrite_case {
+  std::string name;
+  bool is_rewritten;
+};
+
+// A failed sync leaves content in the page cache that a further sync does not write.
+const test_table kRewrite("storage",
+                          std::vector<rewrite_case>{
+                              {"what is recovered after a refused write survives a power cut",
+                               true},
+                              {"without a rewrite the judge finds lost content", false}},
+                          std::function([](const rewrite_case& row) {
+                            std::mt19937_64 random(20261205);
+                            int lost = 0;
+                            for (int round = 0; round < 4000; ++round) {
+                              fake_disk files;
+                              WriteTwoBatches(files);
+                              auto store = OpenStore(files);
+                              if (round % 2 == 0) {
+                                files.LimitSpace(random() % 400);
+                              } else {
+                                files.FailOperationsAfter(random() % 8);
+                              }
+                              storage_write write = MakeAppend(7, 3, 50);
+                              write.state = hard_state{.replica_id = 7, .term = 9, .has_log = true};
+                              const bool is_written = Recover(
+                                  [&]() -> result<bool> {
+                                    BOOST_LEAF_CHECK(store->Write(write));
+                                    return true;
+                                  },
+                                  [](const error&) { return false; });
+                              files.LimitSpace(fake_disk::kUnlimited);
+                              files.FailOperationsAfter(fake_disk::kUnlimited);
+                              store = OpenStore(files);
+                              if (row.is_rewritten) {
+                                Expect([&] { return store->Rewrite(); });
+                              }
+                              const stored_state recovered = store->TakeRecovered();
+                              files.Crash(random);
+                              const stored_state after = OpenStore(files)->TakeRecovered();
+                              CPPUNIT_ASSERT(after.entries.size() >= (is_written ? 9U : 6U));
+                              lost += after.entries.size() < recovered.entries.size() ||
+                                              after.state.term < recovered.state.term
+                                          ? 1
+                                          : 0;
+                            }
+                            CPPUNIT_ASSERT_MESSAGE(std::to_string(lost),
+                                                   row.is_rewritten ? lost == 0 : lost > 0);
+                          }));
+
 const test_table kCrashDuringWrite(
     "storage",
     "a crash after any step of a write leaves the old or the new content",
