--- a/tests/unit/serving/lease_schedule_test.cpp
+++ b/tests/unit/serving/lease_schedule_test.cpp
@@ -126,9 +126,10 @@
   milliseconds now_{};
   manual_clock clock_;  // The VM's clock.
   fleet_view view_{DecodeKeyOnly};
-  admission admission_control_{{kWithdrawalBound, milliseconds(2500), milliseconds(5000)},
-                               view_,
-                               clock_};
+  admission admission_control_{
+      {kWithdrawalBound, milliseconds(2500), {.window = milliseconds(5000)}},
+      view_,
+      clock_};
   std::vector<milliseconds> acknowledged_;
   std::vector<pending_reply> in_flight_;
   milliseconds disconnected_until_{};
