--- a/src/fleet/usage_ledger.h
+++ b/src/fleet/usage_ledger.h
@@ -101,8 +101,8 @@
 /// `rate_tolerance` covers requests that are not counted yet.
 double SteeredLimit(const workspace_rate& limit, const rate_tolerance& tolerance);
 
-/// The part of `SteeredLimit` that VMs without contact may use beyond their former level: half of
-/// what is unused, in steps, or `kMaxRoomPerMille` if no less is unused. It rises only if it
+/// The part of `SteeredLimit` that VMs without contact may use beyond their former level: what is
+/// unused, rounded down to a step, and never more than `kMaxRoomPerMille`. It rises only if it
 /// clearly exceeds the next step, since each change is sent to every VM.
 constexpr std::uint32_t kMaxRoomPerMille = 750;
 std::uint32_t RoomPerMille(const workspace_usage& usage,
