Review case 3: a kept connection is never read again after an early answer

Tried: requests of 205,000 bytes that an upstream answers before it has read them, then a short request on the same connection.

--- a/review/support/harness.hpp
+++ b/review/support/harness.hpp
@@ -678,8 +678,8 @@
 
   // The default handler works for the time `work` and answers with `answer_body`.
   handler on_request;
-  // Called with each head. If it returns true, it has answered before the body was read; the rest
-  // of the connection is then read and discarded.
+  // Called with each head. If it returns true, it has answered before the body was read; the body
+  // is then read and discarded, and the connection is kept.
   std::function<bool(upstream&, connection&, const message&)> on_head;
   milliseconds work{200};
   std::string answer_fields;  ///< Further fields of each answer; guarded by `lock`.
@@ -802,11 +802,10 @@
         break;
       }
       if (is_early) {
-        const auto end = steady::now() + milliseconds(5000);
-        while (is_running_ && from.Read(buffer, end) == connection::read_result::kBytes) {
-          buffer.clear();
+        if (!SkipBody(from, buffer, *request)) {
+          break;
         }
-        break;
+        continue;
       }
       Note(*request, number);
       if (!request->is_whole) {
@@ -825,6 +824,22 @@
     const std::lock_guard guard(connections_lock_);
     connections_.erase(&from);
   }
+  bool SkipBody(connection& from, std::string& buffer, const message& request) {
+    const auto end = steady::now() + milliseconds(5000);
+    const bool is_chunked = request.Header("Transfer-Encoding") == "chunked";
+    const std::size_t size = std::strtoull(request.Header("Content-Length").c_str(), nullptr, 10);
+    const std::string last_chunk = "0\r\n\r\n";
+    const auto is_whole = [&] {
+      return is_chunked ? buffer.ends_with(last_chunk) : buffer.size() >= size;
+    };
+    while (is_running_ && !is_whole()) {
+      if (from.Read(buffer, end) != connection::read_result::kBytes) {
+        return false;
+      }
+    }
+    buffer.erase(0, is_chunked ? buffer.size() : size);
+    return true;
+  }
   void Note(const message& request, int number) {
     const std::lock_guard guard(lock);
     arrivals_.push_back({record_.Now(), request.Header("X-Attempt-Id"), request.first_line,
