Part request_flow: attempts, upstream selection, return time and shared context

The members that run attempts at upstreams, the choice of an upstream, the time at which a refused caller returns, and the state that requests share move to files of their own.

--- a/src/serving/request_flow.h
+++ b/src/serving/request_flow.h
@@ -5,89 +5,23 @@
 #include "base/buffer_budget.h"
 #include "base/clock.h"
 #include "http/answer_sink.h"
-#include "http/answer_time.h"
-#include "http/drain_schedule.h"
 #include "http/front_connection.h"
 #include "http/message.h"
-#include "serving/admission.h"
-#include "serving/crash_evidence.h"
-#include "serving/fleet_link.h"
-#include "serving/fleet_view.h"
-#include "serving/repeat_budget.h"
-#include "serving/transfer_cost.h"
+#include "serving/serving_context.h"
 #include "serving/upstream_call.h"
-#include "serving/upstream_limits.h"
-#include "serving/upstream_statements.h"
-#include "serving/upstream_tracker.h"
 
 #include <QTimer>
 
 #include <chrono>
 #include <cstdint>
-#include <map>
 #include <memory>
 #include <optional>
-#include <random>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace corianderhoist {
 
-/// Names of the header fields of the protocol with callers.
-struct caller_header_names {
-  std::string attempt_id;   ///< Unique per attempt of the caller; forwarded.
-  std::string deadline_ms;  ///< Time for which the caller waits, in milliseconds.
-  std::string key;          ///< API key; never forwarded.
-};
-
-struct serving_settings {
-  std::string vm;
-  vm_place place;
-  caller_header_names callers;
-  upstream_header_names upstreams;
-  admission_settings admission;
-  repeat_bound repeats;
-  cost_range cross_data_centre_cost;  ///< Of traffic with another data centre of the region.
-  cost_range cross_region_cost;       ///< Of traffic with another region.
-  /// Bytes that the VM may buffer for all callers and upstreams.
-  std::size_t buffer_bytes = 64UL << 20U;
-  drain_settings drain;
-};
-
-class request_flow;
-
-/// State shared by all requests of an entry VM. Used on one thread.
-struct serving_context {
-  serving_context(serving_settings initial_settings,
-                  fleet_view& shared_view,
-                  fleet_link& shared_link,
-                  const clock_source& time);
-
-  const serving_settings settings;
-  const clock_source& clock;
-  buffer_budget buffers;  ///< Before all that holds bytes of it.
-  fleet_view& view;
-  fleet_link& link;
-  admission admission_control;
-  repeat_budget repeats;
-  connection_cache connections;
-  upstream_tracker tracker;
-  upstream_statements statements;
-  upstream_limits limits;
-  crash_evidence crashes;
-  std::mt19937_64 random;
-  std::unordered_map<request_flow*, std::shared_ptr<request_flow>> flows;
-  /// Requests that have ended while another attempt still runs. They are owned here, since that
-  /// attempt uses this context when it ends.
-  std::unordered_map<request_flow*, std::shared_ptr<request_flow>> ended_flows;
-  std::map<std::string, double> answer_kilobytes;   ///< Moving average, by route.
-  std::map<std::string, answer_time> answer_times;  ///< By route.
-  std::map<std::string, double> split_positions;    ///< By route; see `ChoosePart`.
-  drain_schedule drain;
-};
-
 /// Returns the part of a split route that gets the next request, such that the shares of the parts
 /// follow their weights closely even for few requests. `position` is the state of the route, which
 /// starts at a random number from 0 to 1.
@@ -186,9 +120,6 @@
   /// Whether a request that no upstream may have run can still be sent to one.
   bool MayStart() const;
   bool IsIdempotent() const { return route_->is_idempotent; }
-  std::chrono::milliseconds RetryAfter(error_kind kind);
-  /// Time until an upstream of the service accepts requests; zero if one does or all of them leave.
-  std::chrono::milliseconds TimeUntilOpen() const;
 
   serving_context& context_;
   http_request request_;
