End a trial of an upstream with the next request there

Core VMs kept an upstream marked as due for a trial until their next tick, and told other VMs of the end as a hint, up to 250 ms later. Meanwhile further VMs sent trials to an upstream that had just failed one.

The mark is cleared when a request starts or ends, and its end is sent at once within the data centre. The three rows of the new test fail before.

--- a/src/fleet/upstream_health_table.cpp
+++ b/src/fleet/upstream_health_table.cpp
@@ -75,7 +75,7 @@
     return true;
   }
   return current.failing >= published.failing + kMinPublishedFailingChange ||
-         (current.is_silent && !published.is_silent) || current.trial > published.trial;
+         (current.is_silent && !published.is_silent) || current.trial != published.trial;
 }
 
 }  // namespace
@@ -95,6 +95,8 @@
   // Load reports show the start of a long request; a short one may appear only as an outcome.
   entry.started_at = entry.running == 0 ? now : entry.started_at;
   entry.used_at = now;
+  // Other VMs would send further trials until the next call of `PlanTrials`.
+  entry.trial = upstream_trial::kNone;
   entry.was_good = IsSuccess(outcome.evidence);
   if (outcome.evidence == attempt_evidence::kTimedOut) {
     entry.unanswered_at = now;
@@ -123,6 +125,7 @@
   observed_.insert(upstream);
   record& entry = RecordOf(upstream, now);
   entry.started_at = running > entry.running ? now : entry.started_at;
+  entry.trial = running > entry.running ? upstream_trial::kNone : entry.trial;
   entry.used_at = now;
   entry.running = running;
 }
--- a/tests/unit/fleet/health_filter_test.cpp
+++ b/tests/unit/fleet/health_filter_test.cpp
@@ -315,6 +315,37 @@
                            CPPUNIT_ASSERT_EQUAL(row.is_urgent, !changes.urgent.empty());
                          }));
 
+struct trial_end_case {
+  std::string name;
+  std::optional<attempt_evidence> outcome;  ///< Else a request starts.
+  std::uint32_t running;
+};
+
+// Guards against trials by several VMs. Seen on a start with 216 upstreams: 304 trials in two
+// seconds went to upstreams that another VM had found failing just before.
+const test_table kTrialEnd("a trial ends with the next request",
+                           std::vector<trial_end_case>{
+                               {"a request starts", std::nullopt, 1},
+                               {"a request fails", kFailed, 0},
+                               {"a request succeeds", kGood, 0},
+                           },
+                           std::function([](const trial_end_case& row) {
+                             manual_clock clock;
+                             upstream_health_table pool(milliseconds(1500), clock.Now());
+                             pool.Observe({1, kGood, 30}, clock.Now());
+                             clock.Advance(milliseconds(1200));
+                             pool.PlanTrials({1}, false, clock.Now());
+                             CPPUNIT_ASSERT(ConditionOf(pool, 1, clock.Now()).trial == kForAny);
+                             if (row.outcome) {
+                               pool.Observe({1, *row.outcome, 0}, clock.Now());
+                             } else {
+                               pool.SetRunning(1, row.running, clock.Now());
+                             }
+                             const condition_changes changes = pool.RefreshObserved(clock.Now());
+                             CPPUNIT_ASSERT_EQUAL(std::size_t(1), changes.urgent.size());
+                             CPPUNIT_ASSERT(pool.ChangedSince(0).front().trial == kNone);
+                           }));
+
 struct crash_case {
   std::string name;
   std::vector<crash_report> notes;
