Try a new upstream once, not until it succeeds

An entry VM took an upstream that was added after its own start for untried until it had answered a request with success: after the first 3.5 s every VM regarded it as due for a trial, also when all knew that it was failing. At a start nearly all upstreams are added after the VMs.

Now the core VMs decide about it as about every upstream that has a condition; only the time of the cold start stays with the entry VM.

--- a/src/serving/upstream_tracker.cpp
+++ b/src/serving/upstream_tracker.cpp
@@ -97,12 +97,14 @@
       !IsChosenForTrial(upstream.entry.handle, is_own_region)) {
     return false;
   }
-  const bool is_untried = !upstream.has_condition || upstream.condition.relative_latency == 0;
-  if (is_untried && upstream.is_added_after_start) {
-    return now - upstream.known_since > kColdStartDuration;
+  const bool is_starting_cold =
+      upstream.is_added_after_start && now - upstream.known_since <= kColdStartDuration;
+  const bool has_succeeded = upstream.has_condition && upstream.condition.relative_latency > 0;
+  if (is_starting_cold && !has_succeeded) {
+    return false;
   }
   if (!upstream.has_condition) {
-    return false;
+    return upstream.is_added_after_start;
   }
   switch (upstream.condition.trial) {
     case upstream_trial::kNone:
