--- a/src/serving/request_attempts.cpp
+++ b/src/serving/request_attempts.cpp
@@ -72,7 +72,12 @@
   upstream_query query;
   query.service = service_;
   query.tried = &tried_upstreams_;
-  query.may_fail = IsIdempotent() && !is_repeat && possible_runs_ + 1 < route_->attempts;
+  query.may_fail =
+      MayFail({.is_idempotent = IsIdempotent(),
+               .is_repeat = is_repeat,
+               .possible_runs = possible_runs_,
+               .allowed_runs = route_->attempts,
+               .is_budget_low = context_.view.IsRepeatBudgetLow(service_, context_.clock.Now())});
   query.max_idle_time = MaxIdleTime();
   query.transfer_kilobytes = TransferKilobytes();
   const auto chosen = SelectUpstream(context_, query);
--- a/src/serving/upstream_selection.cpp
+++ b/src/serving/upstream_selection.cpp
@@ -25,6 +25,11 @@
 
 }  // namespace
 
+bool MayFail(const repeat_prospect& prospect) {
+  return prospect.is_idempotent && !prospect.is_repeat && !prospect.is_budget_low &&
+         prospect.possible_runs + 1 < prospect.allowed_runs;
+}
+
 std::optional<selected_upstream> SelectUpstream(serving_context& context,
                                                 const upstream_query& query) {
   std::vector<placement_candidate> candidates;
--- a/src/serving/upstream_selection.h
+++ b/src/serving/upstream_selection.h
@@ -5,12 +5,27 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <set>
 #include <string>
 
 namespace corianderhoist {
 
+/// What decides whether a request can be sent to another upstream if its next attempt fails.
+struct repeat_prospect {
+  bool is_idempotent = false;
+  bool is_repeat = false;           ///< The next attempt is a repeat already.
+  std::uint32_t possible_runs = 0;  ///< Attempts that an upstream may have run.
+  std::uint32_t allowed_runs = 1;   ///< Of the route.
+  bool is_budget_low = false;       ///< The repeat budget of the service is running low.
+};
+
+/// Whether a failure of the next attempt is likely to be repaired by a repeat. While the budget is
+/// low a repeat is granted rarely: a request that risked its first attempt would end with the
+/// failure, and keep the budget low. Answers a burst while upstreams fail.
+bool MayFail(const repeat_prospect& prospect);
+
 /// What a request needs of its upstream.
 struct upstream_query {
   std::string service;
