Count idle upstreams by the probability that they have recovered

If more than a quarter of a service's reachable upstreams were idle, those idle for longest got a trial every 1.5 s with any request, so that healthy capacity is not left idle while a tenth of the requests fail.

The rule counts every idle upstream only while more than 5 % of the requests of the last two seconds fail (trials excepted); otherwise each counts by its probability to be healthy. The existing rows of the test stay, for an elevated failure ratio; new rows cover a degraded and a calm service.

--- a/src/fleet/fleet_core_observations.cpp
+++ b/src/fleet/fleet_core_observations.cpp
@@ -330,7 +330,7 @@
   }
   const steady_time now = clock_.Now();
   for (const auto& [service, upstreams] : services) {
-    health_.PlanTrials(upstreams, IsDegraded(usage_.ServiceUsageOf(service)), now);
+    health_.PlanTrials(upstreams, StrainOf(usage_.ServiceUsageOf(service)), now);
   }
 }
 
--- a/src/fleet/upstream_health_table.cpp
+++ b/src/fleet/upstream_health_table.cpp
@@ -192,32 +192,41 @@
                                                     : upstream_trial::kNone;
 }
 
+// How much an upstream counts towards the usable ones of its service.
+double upstream_health_table::IdleWeight(const record& entry,
+                                         service_strain strain,
+                                         steady_time now) {
+  return strain == service_strain::kNone ? 1 - entry.health.FailingProbabilityAt(now) : 1;
+}
+
 void upstream_health_table::PlanTrials(const std::vector<upstream_handle>& service,
-                                       bool is_degraded,
+                                       service_strain strain,
                                        steady_time now) {
-  std::size_t reachable = 0;
+  double reachable = 0;
+  double idle_weight = 0;
   std::vector<record*> idle;
   for (const upstream_handle upstream : service) {
     record& entry = RecordOf(upstream, now);
-    entry.trial = ChooseTrial(entry, is_degraded, now);
+    entry.trial = ChooseTrial(entry, strain == service_strain::kDegraded, now);
     if (entry.unanswered_at && now - *entry.unanswered_at < kUnreachableTimeout) {
       continue;
     }
-    ++reachable;
+    const double weight = IdleWeight(entry, strain, now);
+    reachable += weight;
     if (entry.running == 0 && now - entry.used_at > kDegradedTrialDelay) {
       idle.push_back(&entry);
+      idle_weight += weight;
     }
   }
-  const auto max_idle = std::max<std::size_t>(
-      1, static_cast<std::size_t>(kMaxIdleUpstreamRatio * static_cast<double>(reachable)));
-  if (idle.size() <= max_idle) {
-    return;
-  }
+  const double max_idle = std::max(1.0, kMaxIdleUpstreamRatio * reachable);
   // The upstreams that have been idle longest are the most likely to have recovered.
   std::sort(idle.begin(), idle.end(),
             [](const record* a, const record* b) { return a->used_at < b->used_at; });
-  idle.resize(idle.size() - max_idle);
   for (record* entry : idle) {
+    if (idle_weight <= max_idle) {
+      return;
+    }
+    idle_weight -= IdleWeight(*entry, strain, now);
     entry->trial = std::max(entry->trial, ChooseTrial(*entry, true, now));
   }
 }
--- a/src/fleet/upstream_health_table.h
+++ b/src/fleet/upstream_health_table.h
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "fleet/health_filter.h"
 #include "fleet/messages.h"
+#include "fleet/usage_ledger.h"
 
 #include <cstdint>
 #include <map>
@@ -43,9 +44,13 @@
   /// required minimum unnoticed. An upstream is trusted while it is probably healthy and its mean
   /// latency is within the objective. It is then tried when it has been idle for one to two
   /// seconds. A failing one is tried at longer intervals, which become shorter while the service is
-  /// degraded or many of its upstreams are idle. After a success the next trial follows quickly, so
-  /// that a recovered upstream is trusted again after a few requests.
-  void PlanTrials(const std::vector<upstream_handle>& service, bool is_degraded, steady_time now);
+  /// degraded or too many of its upstreams are idle. Under strain each idle upstream counts; else
+  /// it counts by the probability that it has recovered, since most trials of failing upstreams are
+  /// lost requests and the capacity is not needed. After a success the next trial follows quickly,
+  /// so that a recovered upstream is trusted again after a few requests.
+  void PlanTrials(const std::vector<upstream_handle>& service,
+                  service_strain strain,
+                  steady_time now);
 
   /// Recomputes all conditions, which also depend on the time.
   condition_changes Refresh(steady_time now);
@@ -81,6 +86,7 @@
   };
 
   upstream_trial ChooseTrial(const record& entry, bool is_degraded, steady_time now) const;
+  static double IdleWeight(const record& entry, service_strain strain, steady_time now);
   record& RecordOf(upstream_handle upstream, steady_time now);
   void RefreshRecord(upstream_handle upstream,
                      record& entry,
--- a/src/fleet/usage_ledger.cpp
+++ b/src/fleet/usage_ledger.cpp
@@ -34,6 +34,7 @@
 constexpr milliseconds kRecentWindow(2000);
 // From 10 % of failures on, idle capacity counts as lost; the margin leaves time to react.
 constexpr double kDegradedFailureRatio = 0.075;
+constexpr double kElevatedFailureRatio = 0.05;
 
 // Requests per second: the larger of a long-window and a short-window estimate.
 double RateOf(const sliding_count& count, steady_time now) {
@@ -213,8 +214,12 @@
   return SteeredLimit(limit, tolerance) * room_per_mille / kPerMille / std::max(active_vms, 1U);
 }
 
-bool IsDegraded(const service_usage& usage) {
-  return usage.recent_failures > kDegradedFailureRatio * usage.recent_requests;
+service_strain StrainOf(const service_usage& usage) {
+  return usage.recent_failures > kDegradedFailureRatio * usage.recent_requests
+             ? service_strain::kDegraded
+         : usage.recent_failures > kElevatedFailureRatio * usage.recent_requests
+             ? service_strain::kElevated
+             : service_strain::kNone;
 }
 
 bool IsRepeatBudgetLow(const service_usage& usage, const repeat_bound& bound) {
--- a/src/fleet/usage_ledger.h
+++ b/src/fleet/usage_ledger.h
@@ -126,10 +126,19 @@
 /// the load that failing upstreams cause by making all VMs repeat requests at once.
 bool IsRepeatBudgetLow(const service_usage& usage, const repeat_bound& bound);
 
-/// Whether so many requests end without success that every upstream of the service must get some:
-/// upstreams that are avoided because of old outcomes may have recovered. Covers the failure of
-/// many upstreams at once.
-bool IsDegraded(const service_usage& usage);
+/// How many of a service's requests end without success, trials of suspected upstreams excepted.
+enum class service_strain : std::uint8_t {
+  kNone,
+  /// So many that more failures would soon use up the tolerance for idle upstreams.
+  kElevated,
+  /// So many that every upstream of the service must get some requests: upstreams that are avoided
+  /// because of old outcomes may have recovered.
+  kDegraded,
+};
+
+/// Derives the strain of a service from its latest requests. Covers the failure of many upstreams
+/// at once.
+service_strain StrainOf(const service_usage& usage);
 
 /// Request counts by workspace and by service. Not thread safe.
 class usage_ledger {
--- a/tests/unit/fleet/health_filter_test.cpp
+++ b/tests/unit/fleet/health_filter_test.cpp
@@ -109,12 +109,14 @@
   std::string name;
   std::vector<attempt_evidence> outcomes;  ///< After ten good ones.
   milliseconds idle_time;
-  bool is_degraded;
+  service_strain strain;
   std::uint32_t running;
   upstream_trial expected;
   std::uint32_t relative_latency = 30;  ///< Of all responses.
 };
 
+constexpr auto kCalm = service_strain::kNone;
+constexpr auto kDegraded = service_strain::kDegraded;
 constexpr auto kNone = upstream_trial::kNone;
 constexpr auto kForRepeatable = upstream_trial::kForRepeatable;
 constexpr auto kForAny = upstream_trial::kForAny;
@@ -126,80 +128,85 @@
 const test_table kTrials(
     "trial of an idle upstream",
     std::vector<trial_case>{
-        {"trusted, used recently", {}, milliseconds(500), false, 0, kNone},
-        {"trusted and idle", {}, milliseconds(1200), false, 0, kForAny},
-        {"trusted and idle for longer", {}, milliseconds(1600), false, 0, kForAnyRegion},
-        {"trusted and busy", {}, milliseconds(1500), false, 2, kNone},
-        {"trusted, with one long request", {}, milliseconds(1400), false, 1, kForAnyRegion},
-        {"failing, with one long request", {kFailed, kFailed}, milliseconds(6500), false, 1, kNone},
-        {"failing, detected recently", {kFailed, kFailed}, milliseconds(1000), false, 0, kNone},
+        {"trusted, used recently", {}, milliseconds(500), kCalm, 0, kNone},
+        {"trusted and idle", {}, milliseconds(1200), kCalm, 0, kForAny},
+        {"trusted and idle for longer", {}, milliseconds(1600), kCalm, 0, kForAnyRegion},
+        {"trusted and busy", {}, milliseconds(1500), kCalm, 2, kNone},
+        {"trusted, with one long request", {}, milliseconds(1400), kCalm, 1, kForAnyRegion},
+        {"failing, with one long request", {kFailed, kFailed}, milliseconds(6500), kCalm, 1, kNone},
+        {"failing, detected recently", {kFailed, kFailed}, milliseconds(1000), kCalm, 0, kNone},
         {"failing, idle until a repeatable request may try it",
          {kFailed, kFailed},
          milliseconds(3000),
-         false,
+         kCalm,
          0,
          kForRepeatable},
         {"failing, recovery still unlikely",
          {kFailed, kFailed},
          milliseconds(5500),
-         false,
+         kCalm,
          0,
          kForRepeatable},
         {"failing, idle until any request may try it",
          {kFailed, kFailed},
          milliseconds(6500),
-         false,
+         kCalm,
          0,
          kForAny},
         {"failing, no requests in its own region",
          {kFailed, kFailed},
          milliseconds(12'500),
-         false,
+         kCalm,
          0,
          kForAnyRegion},
-        {"failing, service degraded", {kFailed, kFailed}, milliseconds(1600), true, 0, kForAny},
+        {"failing, service degraded",
+         {kFailed, kFailed},
+         milliseconds(1600),
+         kDegraded,
+         0,
+         kForAny},
         {"failing, idle for longer, service degraded",
          {kFailed, kFailed},
          milliseconds(2000),
-         true,
+         kDegraded,
          0,
          kForAnyRegion},
         {"good once after failures",
          {kFailed, kFailed, kGood},
          milliseconds(300),
-         false,
+         kCalm,
          0,
          kForRepeatable},
         {"good once after failures, a little later",
          {kFailed, kFailed, kGood},
          milliseconds(600),
-         false,
+         kCalm,
          0,
          kForAny},
         {"late responses",
          {kTimedOut, kLateSuccess, kTimedOut, kLateSuccess},
          milliseconds(1200),
-         false,
+         kCalm,
          0,
          kForAny},
         {"slower than the objective",
          {kTimedOut, kLateSuccess},
          milliseconds(1000),
-         false,
+         kCalm,
          0,
          kNone,
          150},
         {"slower than the objective, idle for longer",
          {kTimedOut, kLateSuccess},
          milliseconds(6500),
-         false,
+         kCalm,
          0,
          kForAny,
          150},
         {"good four times after failures",
          {kFailed, kFailed, kGood, kGood, kGood, kGood},
          milliseconds(600),
-         false,
+         kCalm,
          0,
          kNone},
     },
@@ -214,16 +221,19 @@
       }
       pool.SetRunning(1, row.running, clock.Now());
       clock.Advance(row.idle_time);
-      pool.PlanTrials({1}, row.is_degraded, clock.Now());
+      pool.PlanTrials({1}, row.strain, clock.Now());
       CPPUNIT_ASSERT(ConditionOf(pool, 1, clock.Now()).trial == row.expected);
     }));
 
+constexpr auto kElevated = service_strain::kElevated;
+
 struct idle_case {
   std::string name;
   std::size_t upstreams;
   std::size_t failing;      ///< Detected one by one every 100 ms and idle since then.
   std::size_t unreachable;  ///< Among the other upstreams.
-  std::size_t due;          ///< Due for any request 2 s after the last detection.
+  service_strain strain;
+  std::size_t due;  ///< Due for any request 2 s after the last detection.
 };
 
 // Guards against too many idle upstreams in one service. Seen as a FLOOR violation on trouble-3 of
@@ -232,12 +242,17 @@
 const test_table kIdle(
     "trials of a service",
     std::vector<idle_case>{
-        {"few are idle", 47, 11, 0, 0},
-        {"many are idle", 47, 14, 0, 3},
-        {"the allowed number is idle, but most others are unreachable", 47, 11, 20, 5},
-        {"a small service", 12, 3, 0, 0},
-        {"a small service, many are idle", 12, 4, 0, 1},
-        {"all are idle", 6, 6, 0, 5},
+        {"few are idle", 47, 11, 0, kElevated, 0},
+        {"many are idle", 47, 14, 0, kElevated, 3},
+        {"the allowed number is idle, but most others are unreachable", 47, 11, 20, kElevated, 5},
+        {"a small service", 12, 3, 0, kElevated, 0},
+        {"a small service, many are idle", 12, 4, 0, kElevated, 1},
+        {"all are idle", 6, 6, 0, kElevated, 5},
+        {"many are idle, degraded", 47, 14, 0, kDegraded, 14},
+        {"many are idle, hardly any request fails", 47, 14, 0, kCalm, 0},
+        {"half are idle, hardly any request fails", 47, 24, 0, kCalm, 0},
+        {"most are idle, hardly any request fails", 47, 40, 0, kCalm, 22},
+        {"all are idle, hardly any request fails", 6, 6, 0, kCalm, 2},
     },
     std::function([](const idle_case& row) {
       manual_clock clock;
@@ -254,7 +269,7 @@
         const bool is_unreachable = i < row.failing + row.unreachable;
         pool.Observe({service[i], is_unreachable ? kTimedOut : kGood, 30}, clock.Now());
       }
-      pool.PlanTrials(service, false, clock.Now());
+      pool.PlanTrials(service, row.strain, clock.Now());
       std::size_t due = 0;
       for (const upstream_handle upstream : service) {
         const upstream_trial trial = ConditionOf(pool, upstream, clock.Now()).trial;
@@ -310,7 +325,7 @@
                              pool.SetRunning(1, row.running, clock.Now());
                            }
                            clock.Advance(row.idle_time);
-                           pool.PlanTrials({1}, false, clock.Now());
+                           pool.PlanTrials({1}, kCalm, clock.Now());
                            const auto changes = pool.Refresh(clock.Now());
                            CPPUNIT_ASSERT_EQUAL(row.is_urgent, !changes.urgent.empty());
                          }));
@@ -334,7 +349,7 @@
                              upstream_health_table pool(milliseconds(1500), clock.Now());
                              pool.Observe({1, kGood, 30}, clock.Now());
                              clock.Advance(milliseconds(1200));
-                             pool.PlanTrials({1}, false, clock.Now());
+                             pool.PlanTrials({1}, kCalm, clock.Now());
                              CPPUNIT_ASSERT(ConditionOf(pool, 1, clock.Now()).trial == kForAny);
                              if (row.outcome) {
                                pool.Observe({1, *row.outcome, 0}, clock.Now());
--- a/tests/unit/fleet/usage_ledger_test.cpp
+++ b/tests/unit/fleet/usage_ledger_test.cpp
@@ -239,13 +239,26 @@
       }
     }));
 
-const test_table kDegraded("service",
-                           "degraded at about a tenth of failures, not at a few per cent",
-                           [] {
-                             CPPUNIT_ASSERT(IsDegraded({0, 0, 100, 9}));
-                             CPPUNIT_ASSERT(!IsDegraded({0, 0, 100, 5}));
-                             CPPUNIT_ASSERT(!IsDegraded({0, 0, 0, 0}));
-                           });
+struct strain_case {
+  std::string name;
+  double requests;
+  double failures;
+  service_strain expected;
+};
+
+// Guards against idle upstreams that nobody tries while a tenth of the requests fail.
+const test_table kStrain(
+    "strain of a service",
+    std::vector<strain_case>{
+        {"a tenth fails", 100, 10, service_strain::kDegraded},
+        {"nearly a tenth fails", 100, 9, service_strain::kDegraded},
+        {"some fail", 100, 7, service_strain::kElevated},
+        {"a few fail", 100, 5, service_strain::kNone},
+        {"no requests", 0, 0, service_strain::kNone},
+    },
+    std::function([](const strain_case& row) {
+      CPPUNIT_ASSERT(StrainOf({0, 0, row.requests, row.failures}) == row.expected);
+    }));
 
 // A VM admits 10 requests a second for 5 s, then there is no contact for the time of the row.
 struct silence_case {
