Let requests wait for the state of the fleet; find a core VM sooner after a start

Cause: a request that reached an entry VM without policy, lease or rates was refused at once, although its caller waits for 5 to 15 s and the state usually arrives within one to two. A VM that started measured its seeds one after the other, 700 ms for each that does not answer, and a core VM without state answered calls after 400 ms at the latest and before it had the state.

Change: serving/state_wait decides whether a request waits (expected arrival of the state, deadline, number and bytes of waiting requests) and in which order the waiting requests pass through admission again. Off unless the setting state_wait.max_requests is set. A VM probes all seeds at once after its start, and its watch calls say that they await a recent state or reliable limits; a core VM answers them within 25 ms after it has these.

--- a/src/fleet/answer_pacing.cpp
+++ b/src/fleet/answer_pacing.cpp
@@ -21,6 +21,11 @@
       known.limits_revision < current.limits_revision) {
     return pending_news::kUrgent;
   }
+  const bool has_roster = current.roster_index >= known.roster_index;
+  if ((known.awaits_state && has_roster && current.has_recent_state) ||
+      (known.awaits_limits && current.is_counting)) {
+    return pending_news::kUrgent;
+  }
   const auto urgent = current.urgent_revisions.find(known.data_centre);
   if (urgent != current.urgent_revisions.end() && known.conditions_revision < urgent->second) {
     return pending_news::kUrgent;
--- a/src/fleet/answer_pacing.h
+++ b/src/fleet/answer_pacing.h
@@ -26,6 +26,8 @@
   std::uint64_t roster_index = 0;
   std::uint64_t limits_revision = 0;
   std::uint64_t conditions_revision = 0;
+  bool has_recent_state = false;  ///< A policy, and policy and roster are known to be complete.
+  bool is_counting = false;       ///< The limits are reliable.
   /// By data centre: the conditions revision of the newest urgent change of an upstream there.
   std::map<std::string, std::uint64_t> urgent_revisions;
 };
--- a/src/fleet/fleet_core.h
+++ b/src/fleet/fleet_core.h
@@ -120,6 +120,7 @@
   template <class Condition>
   void AnswerWatchersIf(Condition is_due);
   void AnswerExpiredWatchers();
+  void AnswerAwaiting();
   void ScheduleAnswers();
   watch_reply MakeReply(const watcher& waiting) const;
   enum class origin { kOwnRegion, kOtherRegion };
@@ -207,6 +208,7 @@
   bool is_changing_members_ = false;
   bool is_flush_scheduled_ = false;
   bool is_answer_scheduled_ = false;
+  bool is_awaiting_scheduled_ = false;
   bool is_share_scheduled_ = false;
   bool was_leader_ = false;
   bool is_stopped_ = false;
--- a/src/fleet/fleet_core_observations.cpp
+++ b/src/fleet/fleet_core_observations.cpp
@@ -19,6 +19,10 @@
 constexpr milliseconds kMinAnswerInterval(40);
 constexpr milliseconds kMinLimitsRefreshInterval(25);
 constexpr milliseconds kMaxWatchHold(1000);
+// While an entry VM waits for what this core VM does not have yet.
+constexpr milliseconds kAwaitedStateInterval(25);
+// An entry VM awaits a state that is not older than 900 ms when it arrives.
+constexpr milliseconds kMaxAwaitedStateAge(600);
 // A process that has not run for this long has missed counts, which VMs then send elsewhere.
 constexpr milliseconds kMaxTickGap(1000);
 constexpr milliseconds kCountsRequestInterval(250);
@@ -58,12 +62,34 @@
   // A VM has at most one watch call in progress, so an older one has been abandoned.
   std::erase_if(watchers_,
                 [&](const watcher& other) { return other.request.vm == waiting.request.vm; });
+  const bool is_awaited = waiting.request.awaits_state || waiting.request.awaits_limits;
   watchers_.push_back(std::move(waiting));
   if (has_news) {
     ScheduleAnswers();
   } else {
     loop_.After(hold, [this] { AnswerExpiredWatchers(); });
   }
+  if (is_awaited) {
+    AnswerAwaiting();
+  }
+}
+
+// Answers the entry VMs that wait for a recent state or reliable limits once this core VM has them.
+void fleet_core::AnswerAwaiting() {
+  const auto awaits = [](const watcher& waiting) {
+    return waiting.request.awaits_state || waiting.request.awaits_limits;
+  };
+  const core_versions& current = Versions();
+  AnswerWatchersIf([&](const watcher& waiting) {
+    return awaits(waiting) && NewsFor(waiting.request, current) == pending_news::kUrgent;
+  });
+  const bool is_needed = std::any_of(watchers_.begin(), watchers_.end(), awaits);
+  if (is_needed && !std::exchange(is_awaiting_scheduled_, true)) {
+    loop_.After(kAwaitedStateInterval, [this] {
+      is_awaiting_scheduled_ = false;
+      AnswerAwaiting();
+    });
+  }
 }
 
 const core_versions& fleet_core::Versions() {
@@ -71,6 +97,9 @@
   versions_.roster_index = state_.AppliedIndex();
   versions_.limits_revision = limits_revision_;
   versions_.conditions_revision = health_.Revision();
+  const auto state_age = clock_.Now() - replica_->FreshAt();
+  versions_.has_recent_state = versions_.policy_version != 0 && state_age <= kMaxAwaitedStateAge;
+  versions_.is_counting = usage_.IsCounting();
   return versions_;
 }
 
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -261,6 +261,8 @@
   /// Time since it sent the call whose answer set its level of admitted requests.
   std::chrono::milliseconds level_age{};
   std::uint32_t active_vms = 0;  ///< Number of entry VMs that a core VM stated last; 0: unknown.
+  bool awaits_state = false;     ///< Answer as soon as policy and roster are complete and recent.
+  bool awaits_limits = false;    ///< Answer as soon as the limits are reliable.
 
   template <class Self, class Visitor>
   static void ForEachField(Self& self, Visitor&& visit) {
@@ -276,6 +278,8 @@
     visit(10, self.is_probe);
     visit(11, self.level_age);
     visit(12, self.active_vms);
+    visit(13, self.awaits_state);
+    visit(14, self.awaits_limits);
   }
 };
 
--- a/src/serving/admission.cpp
+++ b/src/serving/admission.cpp
@@ -36,6 +36,10 @@
   return view_.Policy() && StateAge() < settings_.withdrawal_bound - kLeaseExpiryMargin;
 }
 
+bool admission::IsStateRecent() const {
+  return view_.Policy() && StateAge() < settings_.policy_bound - kUnknownNameMargin;
+}
+
 admission_decision admission::Decide(const admission_request& request) const {
   admission_decision decision;
   decision.policy = view_.Policy();
@@ -45,7 +49,7 @@
     return decision;
   }
   decision.state_age = StateAge();
-  const bool is_recent = decision.state_age < settings_.policy_bound - kUnknownNameMargin;
+  const bool is_recent = IsStateRecent();
   decision.route = decision.policy->FindRoute(request.host, request.path);
   if (decision.route == nullptr) {
     decision.refusal = is_recent ? error_kind::kNoRoute : error_kind::kStateUnconfirmed;
--- a/src/serving/admission.h
+++ b/src/serving/admission.h
@@ -58,6 +58,8 @@
 
   /// Whether the lease for requests with an API key is valid.
   bool HasValidLease() const;
+  /// Whether there is a policy that is young enough to tell that a route or key does not exist.
+  bool IsStateRecent() const;
 
  private:
   /// The part of a workspace's rate limit that this VM may use while no core VM is reachable.
--- a/src/serving/fleet_link.cpp
+++ b/src/serving/fleet_link.cpp
@@ -19,10 +19,14 @@
 // A core VM whose state is older may have lost contact with the leader.
 constexpr milliseconds kMaxCoreStateAge(900);
 constexpr milliseconds kFreshnessProbeInterval(400);
+// Before the first state, when core VMs hold calls until they have it.
+constexpr milliseconds kFirstFreshnessProbeInterval(1000);
 // A core VM is abandoned for one whose state is younger by more than this.
 constexpr milliseconds kMinStateAgeGain(400);
 constexpr milliseconds kMinCoreBackoff(250);
 constexpr milliseconds kMaxCoreBackoff(2000);
+// Of the connection: a core VM that starts accepts calls before it has the state.
+constexpr milliseconds kMaxReconnectPause(200);
 constexpr milliseconds kChooseRetryInterval(50);
 constexpr milliseconds kReportTimeout(400);
 // Older counts are outside the sliding window of every rate limit.
@@ -46,15 +50,14 @@
   *is_alive_ = false;
 }
 
-void fleet_link::Start() {
-  SetSeeds(settings_.seeds);
-  Watch();
-}
-
 void fleet_link::SetSeeds(std::vector<endpoint> seeds) {
   settings_.seeds = std::move(seeds);
   for (const endpoint& seed : settings_.seeds) {
-    AddCore(seed);
+    const bool is_new = !cores_.contains(seed);
+    core_vm& added = AddCore(seed);
+    if (is_new && !is_watching_) {
+      ProbeAtStart(added);
+    }
   }
 }
 
@@ -69,17 +72,18 @@
 
 rpc_channel& fleet_link::ChannelOf(core_vm& peer) {
   if (!peer.channel) {
-    peer.channel =
-        std::make_unique<rpc_channel>(loop_, nullptr, peer.address, FormatEndpoint(peer.address));
+    peer.channel = std::make_unique<rpc_channel>(loop_, nullptr, peer.address,
+                                                 FormatEndpoint(peer.address), kMaxReconnectPause);
   }
   return *peer.channel;
 }
 
 // Returns the core VM in the VM's own data centre or else with the shortest round trip that is not
-// backed off. Unmeasured ones come first, so that each gets measured. If all are backed off,
-// returns the one whose backoff ends first.
+// backed off. Unmeasured ones come first, so that each gets measured, but not before the VM has a
+// state. If all are backed off, returns the one whose backoff ends first.
 fleet_link::core_vm* fleet_link::ChooseCore() {
   const steady_time now = clock_.Now();
+  const bool is_state_missing = !view_.Policy();
   core_vm* best = nullptr;
   const auto is_better = [&](const core_vm& a, const core_vm& b) {
     const bool is_a_backed_off = a.backoff_until > now;
@@ -90,6 +94,10 @@
     if (is_a_backed_off) {
       return a.backoff_until < b.backoff_until;
     }
+    const bool is_a_measured = a.round_trip.count() > 0;
+    if (is_state_missing && is_a_measured != (b.round_trip.count() > 0)) {
+      return is_a_measured;
+    }
     const bool are_measured = a.round_trip.count() > 0 && b.round_trip.count() > 0;
     if (are_measured && a.is_same_data_centre != b.is_same_data_centre) {
       return a.is_same_data_centre;
@@ -141,6 +149,8 @@
   request.cores_digest = cores_digest_;
   request.data_centre = settings_.data_centre;
   const steady_time sent_at = clock_.Now();
+  request.awaits_state = !view_.Policy() || sent_at - view_.FreshAt() > kMaxCoreStateAge;
+  request.awaits_limits = view_.LimitsReceivedAt() == steady_time();
   if (view_.LevelAt() != steady_time()) {
     request.level_age = std::chrono::ceil<milliseconds>(sent_at - view_.LevelAt());
     request.active_vms = view_.Limits().active_vms;
@@ -222,7 +232,8 @@
   if (now < next_freshness_probe_) {
     return;
   }
-  next_freshness_probe_ = now + kFreshnessProbeInterval;
+  next_freshness_probe_ =
+      now + (IsStarting() ? kFirstFreshnessProbeInterval : kFreshnessProbeInterval);
   for (const auto& [address, each] : cores_) {
     core_vm* other = each.get();
     if (other == &stale) {
@@ -243,6 +254,9 @@
             if (news->age + kMinStateAgeGain < age && current_ == &stale) {
               view_.Apply(*news, sent_at, clock_.Now());
               BackOff(stale, "its state is " + std::to_string(age.count()) + " ms old");
+              if (on_update) {
+                on_update();
+              }
             }
           }
         });
@@ -253,6 +267,7 @@
   const auto round_trip =
       std::chrono::duration_cast<std::chrono::microseconds>(clock_.Now() - sent_at - reply.held);
   const auto measured = std::max(round_trip, std::chrono::microseconds(1));
+  replied_at_ = clock_.Now();
   peer.round_trip = peer.round_trip.count() == 0 ? measured : std::min(peer.round_trip, measured);
   if (!reply.data_centre.empty()) {
     peer.is_same_data_centre = reply.data_centre == settings_.data_centre;
@@ -260,8 +275,8 @@
 }
 
 void fleet_link::BackOff(core_vm& peer, const std::string& cause) {
-  const milliseconds pause =
-      std::min(kMinCoreBackoff * (1 << std::min(peer.failures, 3)), kMaxCoreBackoff);
+  const milliseconds longest = IsStarting() ? kMinCoreBackoff : kMaxCoreBackoff;
+  const milliseconds pause = std::min(kMinCoreBackoff * (1 << std::min(peer.failures, 3)), longest);
   ++peer.failures;
   peer.backoff_until = clock_.Now() + pause;
   if (peer.failures == 1) {
--- a/src/serving/fleet_link.h
+++ b/src/serving/fleet_link.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -64,6 +65,9 @@
   /// The same, and tells the core VM that this VM admits no more requests.
   void FlushLast();
 
+  /// When a core VM last replied; the epoch if none has.
+  steady_time RepliedAt() const { return replied_at_; }
+
   /// Called after each reply that was applied to the view.
   std::function<void()> on_update;
 
@@ -87,6 +91,13 @@
   rpc_channel& ChannelOf(core_vm& peer);
   core_vm* ChooseCore();
   void Watch();
+  // Start (fleet_link_start.cpp).
+  /// Whether the process is young and has no state yet.
+  bool IsStarting() const;
+  void ProbeAtStart(core_vm& peer);
+  void OnStartProbe(core_vm& peer, const rpc_result<watch_reply>& reply, steady_time sent_at);
+  /// Starts the sequence of watch calls, once.
+  void BeginWatch();
   void OnReply(core_vm& peer, const rpc_result<watch_reply>& reply, steady_time sent_at);
   void BackOff(core_vm& peer, const std::string& cause);
   watch_request MakeProbeRequest() const;
@@ -116,6 +127,10 @@
   std::map<upstream_handle, std::uint32_t> loads_;  ///< Running requests; no entry for 0.
   load_change_tracker reported_;                    ///< What the current core VM was sent.
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
+  steady_time started_at_{};
+  bool is_watching_ = false;
+  std::mt19937_64 random_{std::random_device{}()};  ///< Of retries at the start.
+  steady_time replied_at_{};
   steady_time next_probe_{};
   steady_time next_freshness_probe_{};
   std::uint64_t report_generation_ = 0;
--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -92,35 +92,58 @@
 
 bool request_flow::MayStart() const {
   const auto limit = duration_cast<milliseconds>(deadline_ - arrived_);
-  const auto known = context_.answer_times.find(route_->name);
-  const answer_estimate expected = known == context_.answer_times.end()
-                                       ? answer_estimate{route_->objective, limit}
-                                       : known->second.Estimate(route_->objective, limit);
-  return context_.drain.MayStart(context_.clock.Now(), deadline_, expected);
+  return context_.drain.MayStart(context_.clock.Now(), deadline_, EstimateOf(*route_, limit));
+}
+
+answer_estimate request_flow::EstimateOf(const policy_route& route, milliseconds limit) const {
+  const auto known = context_.answer_times.find(route.name);
+  return known == context_.answer_times.end() ? answer_estimate{route.objective, limit}
+                                              : known->second.Estimate(route.objective, limit);
 }
 
 void request_flow::Start() {
   context_.flows.emplace(this, shared_from_this());
   sink_->on_caller_disconnected = [this] { OnCallerDisconnected(); };
-  if (!Admit()) {
+  if (!Admit() && waiter_id_ == 0) {
     return;
   }
   QObject::connect(&deadline_timer_, &QTimer::timeout, &deadline_timer_, [this] { OnDeadline(); });
   QObject::connect(&slow_timer_, &QTimer::timeout, &slow_timer_, [this] { OnSlowTimer(); });
-  deadline_timer_.start(std::max(TimeLeft(), milliseconds(1)));
+  StartTimeLimit();
   body_->on_update = [this] { OnBodyEvent(); };
   OnBodyEvent();
 }
 
+void request_flow::StartTimeLimit() {
+  deadline_timer_.start(std::max(TimeLeft(), milliseconds(1)));
+}
+
+admission_decision request_flow::Decide() const {
+  const std::string* host = FindHeader(request_.headers, "Host");
+  return context_.admission_control.Decide(
+      {host != nullptr ? *host : std::string_view(), request_.path,
+       FindHeader(request_.headers, context_.settings.callers.key)});
+}
+
+std::optional<milliseconds> request_flow::TimeLimit(const policy_route* route) const {
+  const auto given =
+      ReadNumber(FindHeader(request_.headers, context_.settings.callers.deadline_ms));
+  const milliseconds own = route != nullptr ? route->timeout : milliseconds(0);
+  if (!given) {
+    return route != nullptr ? std::optional(own) : std::nullopt;
+  }
+  return own.count() > 0 ? std::min(own, milliseconds(*given)) : milliseconds(*given);
+}
+
 bool request_flow::Admit() {
   const caller_header_names& names = context_.settings.callers;
-  const std::string* host = FindHeader(request_.headers, "Host");
-  const std::string* key = FindHeader(request_.headers, names.key);
   if (const std::string* id = FindHeader(request_.headers, names.attempt_id)) {
     attempt_id_ = *id;
   }
-  const admission_decision decision = context_.admission_control.Decide(
-      {host != nullptr ? *host : std::string_view(), request_.path, key});
+  const admission_decision decision = Decide();
+  if (WaitForState(decision)) {
+    return false;
+  }
   if (decision.refusal) {
     log_event(log_level::kInfo, "admission_refused")
         .Field("request_id", request_.id)
@@ -134,12 +157,7 @@
   policy_ = decision.policy;
   route_ = decision.route;
   workspace_ = decision.workspace;
-  milliseconds time_limit = route_->timeout;
-  if (const auto given = ReadNumber(FindHeader(request_.headers, names.deadline_ms))) {
-    time_limit =
-        time_limit.count() > 0 ? std::min(time_limit, milliseconds(*given)) : milliseconds(*given);
-  }
-  deadline_ = arrived_ + time_limit;
+  deadline_ = arrived_ + TimeLimit(route_).value_or(milliseconds(0));
   if (workspace_ != nullptr) {
     const bool is_within_rate = context_.admission_control.TakeRate(*workspace_);
     context_.link.NoteWorkspace(workspace_->name, is_within_rate);
@@ -182,8 +200,18 @@
     ForwardBody();
     return;
   }
+  const bool is_waiting = waiter_id_ != 0;
+  if (is_waiting && buffered_body_.size() >= kMaxReplayableBodyBytes) {
+    return;
+  }
   buffered_body_ += body_->Take();
   hold_.Set(buffered_body_.size());
+  if (is_waiting) {
+    if (context_.buffers.IsExhausted()) {
+      Refuse(error_kind::kQueueFull, "the buffers of the VM are in use");
+    }
+    return;
+  }
   if (body_->IsComplete() || buffered_body_.size() >= kMaxReplayableBodyBytes) {
     Begin();
   }
@@ -313,6 +341,10 @@
   if (is_complete_) {
     return;
   }
+  if (waiter_id_ != 0) {
+    RefuseWaiting();
+    return;
+  }
   if (possible_runs_ > 0) {
     NoteAnswerTime();
   }
@@ -347,7 +379,7 @@
   if (is_complete_) {
     return;
   }
-  if (!has_begun_ && !MayStart()) {
+  if (waiter_id_ == 0 && !has_begun_ && !MayStart()) {
     Refuse(error_kind::kShuttingDown, "the VM is shutting down");
     return;
   }
@@ -385,6 +417,7 @@
       .Field("arrivals", std::uint64_t(sent_attempts_))
       .Field("taken_ms", duration_cast<milliseconds>(context_.clock.Now() - arrived_).count());
   CancelAttempts();
+  EndWait(wait_outcome::kLeft);
   Complete();
 }
 
@@ -404,6 +437,7 @@
   body_->on_update = nullptr;
   sink_->on_caller_disconnected = nullptr;
   sink_->on_drained = nullptr;
+  EndWait(wait_outcome::kRefused);
   const auto found = context_.flows.find(this);
   assert(found != context_.flows.end() && "Complete called twice");
   // Another attempt that is still running is left to end by itself, until the deadline, so that the
--- a/src/serving/request_flow.h
+++ b/src/serving/request_flow.h
@@ -27,6 +27,13 @@
 /// starts at a random number from 0 to 1.
 const route_part& ChoosePart(const policy_route& route, double& position);
 
+/// How the wait of a request for the state of the fleet ended.
+enum class wait_outcome : std::uint8_t {
+  kAdmitted,
+  kRefused,
+  kLeft,  ///< The caller disconnected.
+};
+
 /// Runs on the thread of its connection, and stays alive until the response is delivered.
 class request_flow : public std::enable_shared_from_this<request_flow> {
  public:
@@ -51,6 +58,13 @@
   std::optional<steady_time> WaitingForCallerSince() const { return waiting_for_caller_since_; }
   /// Ends the streamed answer. Returns the number of bytes that become free, soon after the call.
   std::size_t GiveUpSlowCaller();
+  // While the request waits for the state of the fleet (state_wait_flow.cpp).
+  /// Updates what is known of the waiting request.
+  void RenewWait();
+  /// Passes the request through admission again.
+  void OnStateArrived();
+  /// Refuses the request because it can no longer be answered in time.
+  void RefuseWaiting();
 
  private:
   struct attempt {
@@ -69,7 +83,17 @@
   using attempt_ptr = std::shared_ptr<attempt>;
 
   // Start.
+  admission_decision Decide() const;
+  /// Time from the arrival to the deadline; empty without a route and a deadline of the caller.
+  std::optional<std::chrono::milliseconds> TimeLimit(const policy_route* route) const;
+  answer_estimate EstimateOf(const policy_route& route, std::chrono::milliseconds limit) const;
   bool Admit();
+  void StartTimeLimit();
+  // Wait for the state of the fleet (state_wait_flow.cpp).
+  state_waiter MakeWaiter(const admission_decision& decision) const;
+  /// Returns whether the request waits from now on.
+  bool WaitForState(const admission_decision& decision);
+  void EndWait(wait_outcome outcome);
   void OnBodyEvent();
   void Begin();
   bool IsTooLargeNow() const;
@@ -128,8 +152,9 @@
   steady_time arrived_;
   steady_time deadline_;
   std::string attempt_id_;
-  policy_ptr policy_;  ///< Owns `route_` and `workspace_`.
-  const policy_route* route_ = nullptr;
+  state_wait::waiter_id waiter_id_ = 0;  ///< 0 unless it waits for the state of the fleet.
+  policy_ptr policy_;                    ///< Owns `route_` and `workspace_`.
+  const policy_route* route_ = nullptr;  ///< Null until the request is admitted.
   const policy_workspace* workspace_ = nullptr;
   std::string service_;
   std::uint64_t fingerprint_ = 0;
@@ -157,4 +182,8 @@
   bool is_complete_ = false;
 };
 
+/// Refuses the waiting requests that cannot be answered in time any more, and admits those whose
+/// state has arrived. Called after each reply of a core VM and at least every 100 ms.
+void ReviewWaiting(serving_context& context);
+
 }  // namespace corianderhoist
--- a/src/serving/return_time.cpp
+++ b/src/serving/return_time.cpp
@@ -52,6 +52,9 @@
     return wait +
            DrawUpTo(context, std::max(kRetryAfterJitter, wait / kLongRetryAfterJitterDivisor));
   }
+  if (kind == error_kind::kStateUnconfirmed && context.waits.IsEnabled()) {
+    return context.waits.ReturnTime(context.clock.Now()) + DrawUpTo(context, kRetryAfterJitter);
+  }
   const bool is_long = kind == error_kind::kRequestHeldBack;
   return (is_long ? milliseconds(*base) : kMinRetryAfter) + DrawUpTo(context, kRetryAfterJitter);
 }
--- a/src/serving/serving_context.h
+++ b/src/serving/serving_context.h
@@ -10,6 +10,7 @@
 #include "serving/fleet_link.h"
 #include "serving/fleet_view.h"
 #include "serving/repeat_budget.h"
+#include "serving/state_wait.h"
 #include "serving/transfer_cost.h"
 #include "serving/upstream_call.h"
 #include "serving/upstream_limits.h"
@@ -44,6 +45,7 @@
   /// Bytes that the VM may buffer for all callers and upstreams.
   std::size_t buffer_bytes = 64UL << 20U;
   drain_settings drain;
+  state_wait_settings state_wait;
 };
 
 class request_flow;
@@ -76,6 +78,8 @@
   std::map<std::string, answer_time> answer_times;  ///< By route.
   std::map<std::string, double> split_positions;    ///< By route; see `ChoosePart`.
   drain_schedule drain;
+  state_wait waits;
+  std::map<state_wait::waiter_id, std::weak_ptr<request_flow>> waiting_flows;
 };
 
 /// Records and logs what an answer says about its upstream.
--- a/src/serving/serving_vm.cpp
+++ b/src/serving/serving_vm.cpp
@@ -20,6 +20,15 @@
 // The VM is ready only if its fleet state is younger. A leader election takes less time.
 constexpr milliseconds kMaxReadyStateAge(3500);
 
+QJsonObject DumpStateWait(const serving_context& context, steady_time now) {
+  const auto expected = std::chrono::duration_cast<milliseconds>(
+      context.waits.ExpectedArrival(state_wait_reason::kNoPolicy, now) - now);
+  const bool is_missing = !context.admission_control.IsStateRecent();
+  return {{"waiting", static_cast<qint64>(context.waits.Size())},
+          {"max_requests", static_cast<qint64>(context.settings.state_wait.max_requests)},
+          {"expected_ms", static_cast<qint64>(is_missing ? expected.count() : 0)}};
+}
+
 }  // namespace
 
 serving_vm::serving_vm(serving_vm_settings settings,
@@ -57,7 +66,10 @@
   std::uint16_t port = 0;
   loop_.RunAndWait([&] {
     link_ = std::make_unique<fleet_link>(loop_, settings_.link, *view_, clock_);
-    link_->on_update = [this] { UpdateReady(); };
+    link_->on_update = [this] {
+      UpdateReady();
+      ReviewWaiting(*context_);
+    };
     context_ = std::make_unique<serving_context>(settings_.serving, *view_, *link_, clock_);
     front_ = std::make_unique<front_context>(front_context{
         .clock = clock_,
@@ -132,6 +144,7 @@
     connection->CheckTimeouts(now);
   }
   UpdateReady();
+  ReviewWaiting(*context_);
   GiveUpSlowCallers();
   if (now >= next_upstream_sweep_) {
     next_upstream_sweep_ = now + kUpstreamSweepInterval;
@@ -207,6 +220,7 @@
 }
 
 void serving_vm::ContinueDrain() {
+  ReviewWaiting(*context_);
   const steady_time now = clock_.Now();
   std::vector<std::shared_ptr<request_flow>> flows;
   for (const auto& [key, flow] : context_->flows) {
@@ -273,6 +287,7 @@
           {"buffered_bytes", static_cast<qint64>(context_->buffers.Used())},
           {"buffer_bytes", static_cast<qint64>(context_->buffers.Capacity())},
           {"running", static_cast<qint64>(context_->flows.size())},
+          {"state_wait", DumpStateWait(*context_, now)},
           {"idle_upstream_connections", static_cast<qint64>(context_->connections.Size())},
           {"active_vms", static_cast<qint64>(view_->Limits().active_vms)}};
 }
--- a/src/wire/rpc.h
+++ b/src/wire/rpc.h
@@ -109,17 +109,18 @@
 };
 
 /// Client connection to one process. Connects on the first call and reconnects after a connection
-/// loss, with an exponential backoff from 50 ms to 1 s. Calls made without a connection wait for it
-/// until their timeout. If a call times out and no byte was received on the connection since it was
-/// sent, the connection is closed, because the peer may be unreachable. Thread safe; callbacks run
-/// on the thread of `loop`, which must outlive the channel.
+/// loss, with an exponential backoff from 50 ms to `max_backoff`. Calls made without a connection
+/// wait for it until their timeout. If a call times out and no byte was received on the connection
+/// since it was sent, the connection is closed, because the peer may be unreachable. Thread safe;
+/// callbacks run on the thread of `loop`, which must outlive the channel.
 class rpc_channel {
  public:
   /// `peer_name` is the VM name that the peer's certificate must contain.
   rpc_channel(io_loop& loop,
               std::shared_ptr<tls_identity> identity,
               endpoint address,
-              std::string peer_name);
+              std::string peer_name,
+              std::chrono::milliseconds max_backoff = std::chrono::seconds(1));
   ~rpc_channel();
 
   /// Calls `method` with an encoded message and passes on the encoded reply.
--- a/src/wire/rpc_channel.cpp
+++ b/src/wire/rpc_channel.cpp
@@ -19,7 +19,6 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kInitialBackoff(50);
-constexpr milliseconds kMaxBackoff(1000);
 constexpr milliseconds kConnectTimeout(3000);
 constexpr std::string_view kStatusOk = "200";
 
@@ -64,8 +63,16 @@
 
 // All members must be used on the thread of the loop.
 struct rpc_channel::state : std::enable_shared_from_this<state> {
-  state(io_loop& owner, std::shared_ptr<tls_identity> own, endpoint target, std::string name)
-      : loop(owner), identity(std::move(own)), address(std::move(target)), peer(std::move(name)) {}
+  state(io_loop& owner,
+        std::shared_ptr<tls_identity> own,
+        endpoint target,
+        std::string name,
+        milliseconds longest_backoff)
+      : loop(owner),
+        identity(std::move(own)),
+        address(std::move(target)),
+        peer(std::move(name)),
+        max_backoff(longest_backoff) {}
 
   void StartCall(std::string method,
                  std::string body,
@@ -250,7 +257,7 @@
         self->Connect();
       }
     });
-    backoff = std::min(backoff * 2, kMaxBackoff);
+    backoff = std::min(backoff * 2, max_backoff);
   }
 
   void Close() {
@@ -274,6 +281,7 @@
   std::unordered_map<std::int32_t, std::uint64_t> call_by_stream;
   std::deque<std::uint64_t> queued_calls;
   std::uint64_t next_call = 1;
+  const milliseconds max_backoff;
   milliseconds backoff = kInitialBackoff;
   bool is_in_backoff = false;
   bool is_closed = false;
@@ -282,13 +290,15 @@
 rpc_channel::rpc_channel(io_loop& loop,
                          std::shared_ptr<tls_identity> identity,
                          endpoint address,
-                         std::string peer_name)
+                         std::string peer_name,
+                         milliseconds max_backoff)
     : loop_(loop),
       peer_name_(peer_name),
       state_(std::make_shared<state>(loop,
                                      std::move(identity),
                                      std::move(address),
-                                     std::move(peer_name))) {}
+                                     std::move(peer_name),
+                                     max_backoff)) {}
 
 rpc_channel::~rpc_channel() {
   if (loop_.IsCurrent()) {
--- a/tests/support/serving_fixture.cpp
+++ b/tests/support/serving_fixture.cpp
@@ -76,38 +76,60 @@
   if (is_silent_) {
     return;
   }
+  if (MustAwait(request)) {
+    ++awaiting_calls_;
+    loop_.After(milliseconds(1), [this, request, respond] { Respond(request, respond); });
+    return;
+  }
   // The hold of at most 50 ms keeps the VM from polling in a busy loop.
-  loop_.After(std::min(request.hold, milliseconds(50)), [this, request, respond] {
-    const std::lock_guard guard(lock_);
-    watch_reply reply;
-    reply.core_incarnation = 1;
-    reply.held = std::min(request.hold, milliseconds(50));
-    reply.changes.index = state_.index;
-    reply.changes.is_whole_roster = request.roster_index == 0;
-    if (request.policy_version < state_.policy.version) {
-      reply.changes.policy = state_.policy;
-    }
-    for (const upstream_entry& entry : state_.upstreams) {
-      if (entry.changed_index > request.roster_index) {
-        reply.changes.upstreams.push_back(entry);
-      }
-    }
-    if (request.cores_digest != CoresDigest(cores_)) {
-      reply.cores = cores_;
-    }
-    if (request.core_incarnation != reply.core_incarnation) {
-      reply.data_centre = data_centre_;
-    }
-    reply.conditions_revision = conditions_revision_;
-    if (request.conditions_revision < conditions_revision_) {
-      reply.conditions = conditions_;
-    }
-    reply.limits_revision = limits_revision_;
-    if (request.limits_revision < limits_revision_) {
-      reply.limits = {limits_};
+  loop_.After(std::min(request.hold, milliseconds(50)),
+              [this, request, respond] { Respond(request, respond); });
+}
+
+bool fake_core::MustAwait(const watch_request& request) const {
+  const std::lock_guard guard(lock_);
+  return request.awaits_state && request.hold.count() > 0 && state_.policy.version == 0;
+}
+
+void fake_core::Respond(const watch_request& request, const rpc_callback<watch_reply>& respond) {
+  if (MustAwait(request)) {
+    loop_.After(milliseconds(1), [this, request, respond] { Respond(request, respond); });
+    return;
+  }
+  const std::lock_guard guard(lock_);
+  watch_reply reply;
+  reply.core_incarnation = 1;
+  reply.held = std::min(request.hold, milliseconds(50));
+  reply.changes.index = state_.index;
+  reply.changes.is_whole_roster = request.roster_index == 0;
+  if (request.policy_version < state_.policy.version) {
+    reply.changes.policy = state_.policy;
+  }
+  for (const upstream_entry& entry : state_.upstreams) {
+    if (entry.changed_index > request.roster_index) {
+      reply.changes.upstreams.push_back(entry);
     }
-    respond(std::move(reply));
-  });
+  }
+  if (request.cores_digest != CoresDigest(cores_)) {
+    reply.cores = cores_;
+  }
+  if (request.core_incarnation != reply.core_incarnation) {
+    reply.data_centre = data_centre_;
+  }
+  reply.conditions_revision = conditions_revision_;
+  if (request.conditions_revision < conditions_revision_) {
+    reply.conditions = conditions_;
+  }
+  reply.limits_revision = limits_revision_;
+  if (request.limits_revision < limits_revision_) {
+    reply.limits = {limits_};
+  }
+  respond(std::move(reply));
+}
+
+void fake_core::RemovePolicy() {
+  const std::lock_guard guard(lock_);
+  state_.policy = {};
 }
 
 void fake_core::SetPolicy(std::string document, std::uint64_t version) {
@@ -343,9 +365,14 @@
 }
 
 void serving_fixture::Start() {
+  StartUnready();
+  WaitUntilReady();
+}
+
+void serving_fixture::StartUnready(std::vector<endpoint> seeds) {
   serving_vm_settings settings;
   settings.listen = {"127.0.0.1", 0};
-  settings.link = {"vm1", "dc1", {core_->Address()}};
+  settings.link = {"vm1", "dc1", seeds.empty() ? std::vector{core_->Address()} : std::move(seeds)};
   settings.serving.vm = "vm1";
   settings.serving.place = {"dc1", "region1", {{"dc1", "region1"}, {"dc2", "region1"}}};
   settings.serving.cross_data_centre_cost = {0.05, 0.05};
@@ -354,8 +381,12 @@
   settings.serving.repeats = {0.2, milliseconds(10'000), 1000};
   settings.serving.drain = {drain_delay_, drain_deadline_};
   settings.serving.buffer_bytes = buffer_bytes_;
+  settings.serving.state_wait.max_requests = max_waiting_;
   vm_ = std::make_unique<serving_vm>(settings, platform::DecodePolicy, SystemClock());
   port_ = Expect([this] { return vm_->Start(); });
+}
+
+void serving_fixture::WaitUntilReady() {
   const auto deadline = std::chrono::steady_clock::now() + kReadyTimeout;
   while (!vm_->IsReady()) {
     if (std::chrono::steady_clock::now() > deadline) {
@@ -365,6 +396,14 @@
   }
 }
 
+std::size_t serving_fixture::Waiting() {
+  std::size_t count = 0;
+  vm_->Loop().RunAndWait([&] {
+    count = static_cast<std::size_t>(vm_->Dump()["state_wait"].toObject()["waiting"].toInteger());
+  });
+  return count;
+}
+
 std::size_t serving_fixture::BufferedBytes() {
   std::size_t bytes = 0;
   vm_->Loop().RunAndWait(
--- a/tests/support/serving_fixture.h
+++ b/tests/support/serving_fixture.h
@@ -36,12 +36,19 @@
   void SetCores(std::vector<std::string> addresses);
   void SetDataCentre(const std::string& data_centre);
   std::size_t WatchCalls() const { return watch_calls_; }
+  /// The number of watch requests that are held until there is a state.
+  std::size_t AwaitingCalls() const { return awaiting_calls_; }
+  /// Removes the policy, as in a core VM that has no leader yet: calls that await a state are held
+  /// until `SetPolicy`.
+  void RemovePolicy();
   /// Stops or resumes answering watch requests.
   void SetSilent(bool is_silent) { is_silent_ = is_silent; }
   observations ReportedObservations() const;
 
  private:
   void Answer(const watch_request& request, const rpc_callback<watch_reply>& respond);
+  void Respond(const watch_request& request, const rpc_callback<watch_reply>& respond);
+  bool MustAwait(const watch_request& request) const;
 
   mutable std::mutex lock_;
   fleet_changes state_;
@@ -54,6 +61,7 @@
   std::string data_centre_;
   std::atomic<bool> is_silent_ = false;
   std::atomic<std::size_t> watch_calls_ = 0;
+  std::atomic<std::size_t> awaiting_calls_ = 0;
   endpoint address_;
   rpc_server server_{nullptr, 1};
   io_loop loop_{"fake core"};  ///< Destroyed before the server, which its tasks reference.
@@ -128,6 +136,9 @@
                          const std::string& data_centre = "dc1");
   /// Starts the VM and waits until it is ready.
   void Start();
+  /// Starts the VM with these addresses of core VMs, or else that of `Core`.
+  void StartUnready(std::vector<endpoint> seeds = {});
+  void WaitUntilReady();
   caller_answer Call(const caller_request& request);
   std::uint16_t Port() const { return port_; }
   fake_core& Core() { return *core_; }
@@ -136,6 +147,10 @@
   void SetDrain(std::chrono::milliseconds delay, std::chrono::milliseconds deadline);
   /// Sets the bytes that the VM may buffer; call before `Start`.
   void SetBufferBytes(std::size_t bytes) { buffer_bytes_ = bytes; }
+  /// Sets the number of requests that may wait for the state; call before `Start`.
+  void SetMaxWaiting(std::size_t count) { max_waiting_ = count; }
+  /// The number of requests that wait for the state now.
+  std::size_t Waiting();
   /// The bytes that the VM buffers now.
   std::size_t BufferedBytes();
   /// Starts the shutdown of the VM and returns once it has ended and the VM is destroyed, as at the
@@ -150,6 +165,7 @@
   std::chrono::milliseconds drain_delay_{200};
   std::chrono::milliseconds drain_deadline_{3000};
   std::size_t buffer_bytes_ = serving_settings().buffer_bytes;
+  std::size_t max_waiting_ = 0;
 };
 
 }  // namespace corianderhoist
