Start the error diffusion of admitted shares at a drawn remainder

Cause: the remainder of a workspace at an entry VM started at zero, so the first request at each VM was refused whatever the share. 400 VMs with one request each admitted 0 of 360 at a share of 0.9.

Change: the remainder starts at a fraction that is drawn by VM and workspace. The remainders of all VMs are then uniform, and adding a share keeps them so; shares that change while a remainder is held need no correction.

--- a/src/serving/admission.cpp
+++ b/src/serving/admission.cpp
@@ -23,6 +23,18 @@
 constexpr std::uint64_t kLevelPerGrowth = 2;
 constexpr std::uint64_t kMinConnectedGrowth = 4;
 
+// Different purposes of one VM and workspace get independent fractions.
+enum class fraction_use : std::uint8_t { kGrowthRounding, kShareRemainder };
+
+// A fraction from 0 to below 1 that is drawn by VM and workspace: over many VMs it is uniform.
+double DrawnFraction(const std::string& workspace, std::uint64_t seed, fraction_use use) {
+  constexpr std::uint64_t kSteps = 1'000'000;
+  const std::uint64_t drawn = use == fraction_use::kGrowthRounding
+                                  ? FastHash(workspace) ^ seed
+                                  : FastHash(workspace + '/' + std::to_string(seed));
+  return static_cast<double>(drawn % kSteps) / kSteps;
+}
+
 }  // namespace
 
 admission::admission(admission_settings settings, const fleet_view& view, const clock_source& clock)
@@ -110,9 +122,8 @@
 
 // This VM's part of the room, rounded up or down so that the parts of all VMs add up to it.
 std::uint64_t admission::GrowthOf(const policy_workspace& workspace) const {
-  constexpr std::uint64_t kSteps = 1'000'000;
   const double rounding =
-      static_cast<double>((FastHash(workspace.name) ^ settings_.seed) % kSteps) / kSteps;
+      DrawnFraction(workspace.name, settings_.seed, fraction_use::kGrowthRounding);
   const double growth = GrowthPerVm({workspace.rate_per_second, workspace.burst}, settings_.rates,
                                     view_.RoomPerMille(workspace.name), view_.Limits().active_vms);
   return static_cast<std::uint64_t>(std::floor(growth + rounding));
@@ -156,8 +167,13 @@
   if (share >= 1) {
     return true;
   }
-  // Error diffusion: admits n x share of n requests, evenly spread.
-  double& remainder = share_remainders_[workspace];
+  // Error diffusion: admits n x share of n requests, evenly spread. A VM may see only one request
+  // while the share is in force. The remainders of all VMs are therefore uniform from the start,
+  // and stay so whatever shares follow: of one request at each VM, the share is admitted.
+  double& remainder = share_remainders_
+                          .try_emplace(workspace, DrawnFraction(workspace, settings_.seed,
+                                                                fraction_use::kShareRemainder))
+                          .first->second;
   remainder += share;
   if (remainder < 1) {
     return false;
