Pool response times of services, and count lost races as slowness

Cause: the delay before a hedge is a constant fraction of the objective, since no VM knows how long responses of a service take. An attempt that is cancelled leaves no evidence at all. A lost race counts as a lower bound of the latency, neither as a success nor as a failure. Nothing is reported before entry VMs turn hedging on.

--- a/src/fleet/fleet_core.cpp
+++ b/src/fleet/fleet_core.cpp
@@ -54,6 +54,7 @@
       server_(nullptr, kServerThreads),
       membership_(settings_.voters),
       health_(settings_.announcement_interval, clock.Now()),
+      latencies_(clock.Now()),
       usage_({settings_.region, settings_.rates, settings_.repeats, settings_.withdrawal_bound},
              incarnation_,
              clock) {
--- a/src/fleet/fleet_core.h
+++ b/src/fleet/fleet_core.h
@@ -7,6 +7,7 @@
 #include "fleet/answer_pacing.h"
 #include "fleet/fleet_state.h"
 #include "fleet/fleet_usage.h"
+#include "fleet/latency_digest.h"
 #include "fleet/load_table.h"
 #include "fleet/membership_manager.h"
 #include "fleet/messages.h"
@@ -173,6 +174,7 @@
   membership_manager membership_;
   upstream_health_table health_;
   crash_tracker crashes_;
+  latency_pool latencies_;
   fleet_usage usage_;
   policy_ptr policy_;
   std::vector<upstream_entry> roster_;  ///< As of `roster_index_`.
--- a/src/fleet/fleet_core_observations.cpp
+++ b/src/fleet/fleet_core_observations.cpp
@@ -172,6 +172,10 @@
   for (const stated_limit& limit : seen.limits) {
     health_.SetLimit(limit.upstream, limit.per_kilosecond, now);
   }
+  for (const lost_race& race : seen.lost_races) {
+    health_.ObserveLostRace(race, now);
+  }
+  latencies_.Add(seen.latencies, now);
   usage_.Count(seen, source == origin::kOwnRegion);
   for (const crash_report& note : seen.crashes) {
     crashes_.Record(note, now);
@@ -274,6 +278,7 @@
   }
   is_near_limit_ = usage_.UpdateNearLimit(is_near_limit);
   current.blocked_requests = crashes_.Blocked(now);
+  current.latency_digests = latencies_.Publish(now);
   const std::uint32_t active = usage_.UpdateFleetSize();
   // Decreases of the number of VMs by up to a tenth are not published. Each increase is, since the
   // VMs divide what is unused of a limit by it.
--- a/src/fleet/fleet_core_share.cpp
+++ b/src/fleet/fleet_core_share.cpp
@@ -1,5 +1,6 @@
 // Exchange of observations and loads between core VMs.
 #include "fleet/fleet_core.h"
+#include "fleet/latency_digest.h"
 
 #include <algorithm>
 #include <utility>
@@ -33,6 +34,8 @@
   Append(to.crashes, from.crashes);
   Append(to.late, from.late);
   Append(to.limits, from.limits);
+  Append(to.lost_races, from.lost_races);
+  MergeLatencies(to.latencies, from.latencies);
   MergeCounts(to.workspaces, from.workspaces);
   MergeCounts(to.services, from.services);
 }
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -108,6 +108,44 @@
   }
 };
 
+/// Number of response times in one bucket; see `fleet/latency_digest.h`.
+struct bucket_count {
+  std::uint32_t bucket = 0;
+  std::uint64_t count = 0;
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.bucket);
+    visit(2, self.count);
+  }
+};
+
+/// Times until the responses to first attempts of repeatable requests began, by service. Reported
+/// only if hedging is on.
+struct latency_counts {
+  std::string service;
+  std::vector<bucket_count> buckets;
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.service);
+    visit(2, self.buckets);
+  }
+};
+
+/// An attempt that was cancelled because a later attempt of the request was answered first. The
+/// upstream needs at least this time for the response; nothing is known of its success.
+struct lost_race {
+  upstream_handle upstream = 0;
+  std::uint32_t relative_latency = 0;  ///< Hundredths of the route's objective.
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.upstream);
+    visit(2, self.relative_latency);
+  }
+};
+
 /// Observations since the last report.
 struct observations {
   std::vector<attempt_outcome> outcomes;
@@ -116,10 +154,12 @@
   std::vector<crash_report> crashes;
   std::vector<resent_counts> late;
   std::vector<stated_limit> limits;
+  std::vector<latency_counts> latencies;
+  std::vector<lost_race> lost_races;
 
   bool IsEmpty() const {
     return outcomes.empty() && workspaces.empty() && services.empty() && crashes.empty() &&
-           late.empty() && limits.empty();
+           late.empty() && limits.empty() && latencies.empty() && lost_races.empty();
   }
 
   template <class Self, class Visitor>
@@ -130,6 +170,8 @@
     visit(4, self.crashes);
     visit(5, self.late);
     visit(6, self.limits);
+    visit(7, self.latencies);
+    visit(8, self.lost_races);
   }
 };
 
@@ -226,6 +268,21 @@
   }
 };
 
+/// Quantiles of the response times of a service, as positions of buckets; see
+/// `fleet/latency_digest.h`.
+struct service_digest {
+  std::string service;
+  std::vector<std::uint32_t> quantiles;
+
+  bool operator==(const service_digest&) const = default;
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.service);
+    visit(2, self.quantiles);
+  }
+};
+
 /// Limits that apply to all VMs. Small, hence sent as a whole whenever one of them changes.
 struct shared_limits {
   /// Only those with a share below 1 or less room than `kMaxRoomPerMille`.
@@ -233,6 +290,7 @@
   std::vector<std::string> low_budget_services;  ///< Services whose repeat budget is running low.
   std::vector<std::uint64_t> blocked_requests;   ///< Fingerprints of requests that crash upstreams.
   std::uint32_t active_vms = 1;                  ///< Entry VMs that were active recently.
+  std::vector<service_digest> latency_digests;   ///< Only if hedging is on.
 
   bool operator==(const shared_limits&) const = default;
 
@@ -242,6 +300,7 @@
     visit(2, self.low_budget_services);
     visit(3, self.blocked_requests);
     visit(4, self.active_vms);
+    visit(5, self.latency_digests);
   }
 };
 
--- a/src/fleet/upstream_health_table.cpp
+++ b/src/fleet/upstream_health_table.cpp
@@ -10,6 +10,8 @@
 using std::chrono::milliseconds;
 
 constexpr double kRelativeLatencySmoothingFactor = 0.15;
+// Bound of the mean of an upstream that loses all races.
+constexpr double kMinAnswered = 0.05;
 constexpr double kProbabilityUnits = 255;
 // Answers from before an upstream stated its limit arrive within this time after the first that
 // states it.
@@ -110,9 +112,31 @@
             ? relative_latency
             : entry.relative_latency +
                   kRelativeLatencySmoothingFactor * (relative_latency - entry.relative_latency);
+    entry.answered += kRelativeLatencySmoothingFactor * (1 - entry.answered);
   }
 }
 
+// The attempt was cancelled before its end, so its time is a lower bound. The mean is the time of
+// all attempts per answered one (the estimate for exponential times with censoring): it never falls
+// because of a lost race, and grows without an answer in between.
+void upstream_health_table::ObserveLostRace(const lost_race& race, steady_time now) {
+  observed_.insert(race.upstream);
+  record& entry = RecordOf(race.upstream, now);
+  entry.used_at = now;
+  const auto relative_latency = static_cast<double>(race.relative_latency);
+  if (entry.relative_latency == 0) {
+    entry.relative_latency = relative_latency;
+    return;
+  }
+  entry.relative_latency +=
+      kRelativeLatencySmoothingFactor * (relative_latency - entry.relative_latency);
+  entry.answered -= kRelativeLatencySmoothingFactor * entry.answered;
+}
+
+double upstream_health_table::MeanRelativeLatency(const record& entry) {
+  return entry.relative_latency / std::max(entry.answered, kMinAnswered);
+}
+
 void upstream_health_table::RecordAnnouncement(upstream_handle upstream, steady_time now) {
   RecordOf(upstream, now).announced_at = now;
 }
@@ -153,7 +177,7 @@
   condition.upstream = upstream;
   condition.failing = static_cast<std::uint32_t>(
       std::lround(entry.health.FailingProbabilityAt(now) * kProbabilityUnits));
-  condition.relative_latency = static_cast<std::uint32_t>(std::lround(entry.relative_latency));
+  condition.relative_latency = static_cast<std::uint32_t>(std::lround(MeanRelativeLatency(entry)));
   condition.running = entry.running;
   condition.trial = entry.trial;
   condition.limit_per_kilosecond = entry.limit_per_kilosecond;
@@ -165,7 +189,7 @@
 upstream_trial upstream_health_table::ChooseTrial(const record& entry,
                                                   bool is_degraded,
                                                   steady_time now) const {
-  const bool is_slow = entry.relative_latency > kMaxTrustedRelativeLatency;
+  const bool is_slow = MeanRelativeLatency(entry) > kMaxTrustedRelativeLatency;
   const bool is_trusted =
       !is_slow && entry.health.FailingProbabilityAt(now) < kMaxTrustedFailingProbability;
   // A trusted upstream with one long request still has capacity for others.
--- a/src/fleet/upstream_health_table.h
+++ b/src/fleet/upstream_health_table.h
@@ -29,6 +29,8 @@
   upstream_health_table(std::chrono::milliseconds announcement_interval, steady_time now);
 
   void Observe(const attempt_outcome& outcome, steady_time now);
+  /// Counts a cancelled attempt as slow, but neither as a success nor as a failure.
+  void ObserveLostRace(const lost_race& race, steady_time now);
   /// Records that an announcement of the upstream has arrived at this or another core VM.
   void RecordAnnouncement(upstream_handle upstream, steady_time now);
   /// Sets the number of requests in progress at the upstream, summed over all VMs.
@@ -66,6 +68,7 @@
 
     health_filter health;
     double relative_latency = 0;  ///< Exponential moving average; 0 before the first good outcome.
+    double answered = 1;          ///< The same of 1 for a good outcome and 0 for a lost race.
     std::uint32_t running = 0;
     steady_time started_at;                    ///< When a request last started.
     steady_time used_at;                       ///< When a request last started or finished.
@@ -81,6 +84,7 @@
   };
 
   upstream_trial ChooseTrial(const record& entry, bool is_degraded, steady_time now) const;
+  static double MeanRelativeLatency(const record& entry);
   record& RecordOf(upstream_handle upstream, steady_time now);
   void RefreshRecord(upstream_handle upstream,
                      record& entry,
--- a/src/serving/fleet_link.cpp
+++ b/src/serving/fleet_link.cpp
@@ -1,6 +1,7 @@
 #include "serving/fleet_link.h"
 
 #include "base/log.h"
+#include "fleet/latency_digest.h"
 
 #include <algorithm>
 #include <utility>
@@ -348,6 +349,16 @@
   ScheduleReport(true);
 }
 
+void fleet_link::NoteResponseTime(const std::string& service, std::chrono::nanoseconds taken) {
+  CountLatency(unsent_.latencies, service, taken);
+  ScheduleReport(false);
+}
+
+void fleet_link::NoteLostRace(const lost_race& race) {
+  unsent_.lost_races.push_back(race);
+  ScheduleReport(false);
+}
+
 void fleet_link::NoteLoad(upstream_handle upstream, std::uint32_t running) {
   if (running == 0) {
     loads_.erase(upstream);
--- a/src/serving/fleet_link.h
+++ b/src/serving/fleet_link.h
@@ -55,6 +55,9 @@
   void NoteCrash(const crash_report& note);
   /// Records what an answer of the upstream states about the requests that it takes.
   void NoteLimit(const stated_limit& limit);
+  /// Records the time until the response to a first attempt began, for the digest of the service.
+  void NoteResponseTime(const std::string& service, std::chrono::nanoseconds taken);
+  void NoteLostRace(const lost_race& race);
   /// Records how many requests of this VM are running at the upstream.
   void NoteLoad(upstream_handle upstream, std::uint32_t running);
   /// The number of running requests that was last sent to a core VM.
--- a/src/serving/fleet_view.cpp
+++ b/src/serving/fleet_view.cpp
@@ -51,6 +51,7 @@
     blocked_ = {limits_.blocked_requests.begin(), limits_.blocked_requests.end()};
     has_unapplied_shares_ = true;
   }
+  digests_.Confirm(limits_.latency_digests, sent_at);
   // A core VM that does not have complete counts yet cannot compute shares, so the former ones
   // stay.
   if (reply.is_counting && std::exchange(has_unapplied_shares_, false)) {
--- a/src/serving/fleet_view.h
+++ b/src/serving/fleet_view.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "fleet/latency_digest.h"
 #include "fleet/messages.h"
 #include "fleet/serving_policy.h"
 
@@ -38,6 +39,7 @@
 
   const policy_ptr& Policy() const { return policy_; }
   const shared_limits& Limits() const { return limits_; }
+  const latency_digests& Digests() const { return digests_; }
   /// Whether requests with this fingerprint are refused because they have crashed upstreams.
   bool IsBlocked(std::uint64_t fingerprint) const { return blocked_.contains(fingerprint); }
   /// The share of a workspace's requests to admit, from 0 to 1; 1 if it is not limited.
@@ -85,6 +87,7 @@
   bool has_shares_ = false;
   bool has_unapplied_shares_ = false;  ///< `shares_` does not have those of `limits_` yet.
   std::set<std::uint64_t> blocked_;
+  latency_digests digests_;
   std::uint64_t roster_index_ = 0;
   std::uint64_t core_life_ = 0;
   std::uint64_t conditions_revision_ = 0;
