Hedge within a share that the operator sets

Cause: operators cannot limit hedges, and the losing attempt runs on at its upstream. Change: serving/hedge_policy decides on hedges, by quantile of the response times and a token bucket for each service; the former rule moves there unchanged and applies without a share. Losing attempts are cancelled when hedging is on. Settings hedging.max_share, hedging.services and hedging.routes; the template leaves them out.

--- a/src/serving/repeat_budget.cpp
+++ b/src/serving/repeat_budget.cpp
@@ -8,18 +8,11 @@
 // Fraction of the budget that all VMs together may use once it is low. Half is used by then, and
 // a tenth covers the repeats that VMs send until they learn that it is low.
 constexpr double kLowBudgetFraction = 0.4;
-// Fraction of the budget that hedged requests may use. Healthy upstreams take longer than the hedge
-// delay for about one request in twenty.
-constexpr double kHedgeBudgetFraction = 0.25;
-constexpr double kMaxHedgeTokens = 2;
 
 }  // namespace
 
 void repeat_budget::CountRequest(const std::string& service) {
-  counts& service_counts = services_[service];
-  service_counts.requests.Add(1, clock_.Now());
-  service_counts.hedge_tokens =
-      std::min(service_counts.hedge_tokens + kHedgeBudgetFraction * bound_.ratio, kMaxHedgeTokens);
+  services_[service].requests.Add(1, clock_.Now());
 }
 
 bool repeat_budget::TryTake(const std::string& service,
@@ -27,7 +20,7 @@
                             bool is_budget_low,
                             std::uint32_t active_vms) {
   counts& service_counts = services_[service];
-  if (cause == repeat_cause::kSlowness && (is_budget_low || service_counts.hedge_tokens < 1)) {
+  if (cause == repeat_cause::kSlowness && is_budget_low) {
     return false;
   }
   const steady_time now = clock_.Now();
@@ -40,7 +33,6 @@
       return false;
     }
   }
-  service_counts.hedge_tokens -= cause == repeat_cause::kSlowness ? 1 : 0;
   service_counts.repeats.Add(1, now);
   return true;
 }
--- a/src/serving/repeat_budget.h
+++ b/src/serving/repeat_budget.h
@@ -19,8 +19,7 @@
 
 /// As long as the fleet has used less than half of the budget, this VM does not limit retries.
 /// After that the budget is low: each VM keeps to its part of the other half, counted over the
-/// same window, and only failures are repeated. Hedged requests are always limited to a small
-/// fraction of the requests, so that many slow responses do not use up the budget for failures.
+/// same window, and only failures are repeated. `hedge_policy` limits hedged requests further.
 /// Bounds the extra load when many requests fail at once. Not thread safe.
 class repeat_budget {
  public:
@@ -39,7 +38,6 @@
   struct counts {
     sliding_count requests;
     sliding_count repeats;
-    double hedge_tokens = 1;  ///< Hedged requests that may be sent.
   };
 
   const repeat_bound bound_;
--- a/src/serving/request_attempts.cpp
+++ b/src/serving/request_attempts.cpp
@@ -29,11 +29,6 @@
 // sent only on a connection that was in use shortly before.
 constexpr milliseconds kMaxIdleForIdempotent(8000);
 constexpr milliseconds kMaxIdleForNonIdempotent(700);
-// If there is no response after this fraction of the objective, an idempotent request is also sent
-// to a second upstream. Nearly all responses of healthy upstreams come earlier, and the second one
-// can still be in time. After the larger fraction the first upstream is reported as not responding.
-constexpr double kHedgeObjectiveFraction = 0.6;
-constexpr double kNoResponseObjectiveFraction = 0.9;
 constexpr milliseconds kMinTimeLeftForAttempt(30);
 constexpr int kMinServerErrorStatus = 500;
 constexpr int kGatewayTimeoutStatus = 504;
@@ -222,8 +217,7 @@
     body_target_ = this_attempt;
   }
   this_attempt->call->Start();
-  const auto objective = std::max(route_->objective, milliseconds(1));
-  slow_timer_.start(duration_cast<milliseconds>(objective * kHedgeObjectiveFraction));
+  StartSlowTimer();
 }
 
 // Streams a body that is too large to be buffered. Reads from the caller only once the upstream is
@@ -249,6 +243,9 @@
 
 void request_flow::OnAnswerHead(const attempt_ptr& this_attempt, const answer_head& head) {
   this_attempt->head = head;
+  if (head.status < kMinServerErrorStatus) {
+    NoteResponseTime(*this_attempt);
+  }
   if (body_target_ == this_attempt) {
     // The upstream responds before it has read the whole body. The rest is not sent.
     body_target_.reset();
@@ -289,6 +286,7 @@
 void request_flow::StartStreaming(const attempt_ptr& this_attempt) {
   streaming_ = this_attempt;
   slow_timer_.stop();
+  CancelLosers(this_attempt);
   answer_head head = this_attempt->head;
   head.headers = WithoutHopByHop(head.headers);
   sink_->on_drained = [weak = weak_from_this()] {
@@ -346,17 +344,6 @@
   context_.link.NoteOutcome(note);
 }
 
-// Reports once that the upstream has not responded in time. It cannot respond while the caller is
-// still sending the body.
-void request_flow::NoteSilence(const attempt_ptr& late) {
-  const bool is_waiting_for_caller =
-      body_target_ == late && !body_->IsComplete() && late->call->Unsent() == 0;
-  if (late->call->IsSent() && !is_waiting_for_caller &&
-      !std::exchange(late->is_silence_reported, true)) {
-    NoteEvidence(*late, attempt_evidence::kTimedOut, false);
-  }
-}
-
 void request_flow::OnAttemptEnd(const attempt_ptr& this_attempt,
                                 call_result result,
                                 const std::string& detail) {
@@ -471,6 +458,7 @@
   kilobytes += kAnswerSizeSmoothing *
                (static_cast<double>(this_attempt->body.size()) / kBytesPerKilobyte - kilobytes);
   NoteAnswerTime();
+  CancelLosers(this_attempt);
   Deliver(this_attempt->head, this_attempt->body);
 }
 
@@ -504,31 +492,4 @@
   FinishWithoutAnswer();
 }
 
-// Called when the response is late compared to those of healthy upstreams.
-void request_flow::OnSlowTimer() {
-  if (is_complete_ || streaming_ || attempts_.empty()) {
-    return;
-  }
-  const auto keep_alive = shared_from_this();
-  const auto objective = std::max(route_->objective, milliseconds(1));
-  const auto no_response_after =
-      duration_cast<milliseconds>(objective * kNoResponseObjectiveFraction);
-  const attempt_ptr newest = attempts_.back();
-  const auto taken = context_.clock.Now() - newest->started;
-  const bool has_no_response = taken >= no_response_after;
-  if (!has_no_response) {
-    slow_timer_.start(duration_cast<milliseconds>(no_response_after - taken) + milliseconds(1));
-  } else {
-    NoteSilence(newest);
-  }
-  const bool has_whole_request = newest->call->IsSent() && body_target_ != newest;
-  const bool may_hedge = IsIdempotent() && attempts_.size() == 1 && has_whole_request &&
-                         !newest->call->HasAnswerBegun() && MayRepeat();
-  // An upstream that has not responded by now has probably failed the request.
-  const repeat_cause cause = has_no_response ? repeat_cause::kFailure : repeat_cause::kSlowness;
-  if (may_hedge && TakeRepeat(cause)) {
-    StartNextAttempt(true);
-  }
-}
-
 }  // namespace corianderhoist
--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -208,6 +208,7 @@
     return;
   }
   context_.repeats.CountRequest(service_);
+  context_.hedges.CountRequest(service_, route_->name);
   context_.link.NoteService(service_, fleet_link::service_event::kRequest);
   if (!StartNextAttempt(false)) {
     Refuse(error_kind::kNoUpstream, "no upstream of the service is known or accepts requests");
@@ -331,6 +332,9 @@
   }
   for (const attempt_ptr& each : attempts_) {
     NoteSilence(each);
+    if (!each->call->HasAnswerBegun()) {
+      NoteResponseTime(*each);
+    }
   }
   CancelAttempts();
   if (failure_head_) {
--- a/src/serving/request_flow.h
+++ b/src/serving/request_flow.h
@@ -64,6 +64,7 @@
     std::string body;
     buffer_hold hold;  ///< Of `body`.
     bool is_repeat = false;
+    bool is_hedge = false;             ///< Sent for slowness, within a share set by the operator.
     bool is_silence_reported = false;  ///< The missing response has been reported.
   };
   using attempt_ptr = std::shared_ptr<attempt>;
@@ -99,7 +100,19 @@
   bool MayRepeat() const;
   bool TakeRepeat(repeat_cause cause);
   void RepeatOrFinish();
+  // Hedges (request_hedges.cpp).
+  void StartSlowTimer();
   void OnSlowTimer();
+  void SendHedge(const attempt& slow, repeat_cause cause);
+  void LogHedge(const attempt& slow) const;
+  void NoteSkippedHedge(const attempt& slow, hedge_skip reason);
+  bool HasFreeSlot() const;
+  bool IsHedged() const { return context_.hedges.ShareOf(service_, route_->name) > 0; }
+  /// Cancels the other attempts once the response of `winner` is chosen, if hedging is on.
+  void CancelLosers(const attempt_ptr& winner);
+  void NoteLostRace(const attempt& loser);
+  /// Counts the time until now as the time until the response of the attempt began.
+  void NoteResponseTime(const attempt& this_attempt);
   // End.
   void Deliver(const answer_head& head, const std::string& body);
   void StartStreaming(const attempt_ptr& this_attempt);
@@ -153,6 +166,7 @@
   std::string last_attempt_detail_;
   QTimer deadline_timer_;
   QTimer slow_timer_;
+  hedge_delay hedge_delay_;         ///< Of the newest attempt.
   bool has_trial_attempt_ = false;  ///< An attempt was a trial of its upstream.
   bool is_complete_ = false;
 };
--- a/src/serving/serving_context.h
+++ b/src/serving/serving_context.h
@@ -9,6 +9,7 @@
 #include "serving/crash_evidence.h"
 #include "serving/fleet_link.h"
 #include "serving/fleet_view.h"
+#include "serving/hedge_policy.h"
 #include "serving/repeat_budget.h"
 #include "serving/transfer_cost.h"
 #include "serving/upstream_call.h"
@@ -39,6 +40,7 @@
   upstream_header_names upstreams;
   admission_settings admission;
   repeat_bound repeats;
+  hedge_settings hedging;
   cost_range cross_data_centre_cost;  ///< Of traffic with another data centre of the region.
   cost_range cross_region_cost;       ///< Of traffic with another region.
   /// Bytes that the VM may buffer for all callers and upstreams.
@@ -62,6 +64,7 @@
   fleet_link& link;
   admission admission_control;
   repeat_budget repeats;
+  hedge_policy hedges;
   connection_cache connections;
   upstream_tracker tracker;
   upstream_statements statements;
--- a/tests/support/serving_fixture.cpp
+++ b/tests/support/serving_fixture.cpp
@@ -62,6 +62,10 @@
         }
         MergeCounts(observations_.workspaces, request.seen.workspaces);
         MergeCounts(observations_.services, request.seen.services);
+        MergeLatencies(observations_.latencies, request.seen.latencies);
+        observations_.lost_races.insert(observations_.lost_races.end(),
+                                        request.seen.lost_races.begin(),
+                                        request.seen.lost_races.end());
         respond(done_reply{});
       });
   address_ = {"127.0.0.1", Expect([&] { return server_.Listen({"127.0.0.1", 0}); })};
@@ -354,6 +358,7 @@
   settings.serving.repeats = {0.2, milliseconds(10'000), 1000};
   settings.serving.drain = {drain_delay_, drain_deadline_};
   settings.serving.buffer_bytes = buffer_bytes_;
+  settings.serving.hedging = hedging_;
   vm_ = std::make_unique<serving_vm>(settings, platform::DecodePolicy, SystemClock());
   port_ = Expect([this] { return vm_->Start(); });
   const auto deadline = std::chrono::steady_clock::now() + kReadyTimeout;
--- a/tests/unit/serving/repeat_budget_test.cpp
+++ b/tests/unit/serving/repeat_budget_test.cpp
@@ -1,5 +1,6 @@
 // Priority of the causes of repeats when the budget is low.
 #include "serving/repeat_budget.h"
+#include "serving/hedge_policy.h"
 
 #include "support/test_table.h"
 
@@ -49,6 +50,7 @@
     [] {
       manual_clock clock;
       std::vector<repeat_budget> budgets(kVms, repeat_budget(kBound, clock));
+      std::vector<hedge_policy> hedges(kVms, hedge_policy({}, kBound, clock));
       usage_ledger ledger;
       std::mt19937_64 random(1);  // Distributes connections unevenly over the VMs.
       int failures = 0;
@@ -58,11 +60,17 @@
         clock.Advance(milliseconds(50));
         const steady_time now = clock.Now();
         const bool is_budget_low = IsRepeatBudgetLow(ledger.UsageOf("s", kBound, now), kBound);
-        repeat_budget& own = budgets[random() % budgets.size()];
+        const std::size_t vm = random() % budgets.size();
+        repeat_budget& own = budgets[vm];
         own.CountRequest("s");
+        hedges[vm].CountRequest("s", "r");
         std::uint64_t taken = 0;
         if (i % 5 == 0) {
-          taken += own.TryTake("s", repeat_cause::kSlowness, is_budget_low, kVms) ? 1 : 0;
+          slow_request slow{"s", "r", repeat_cause::kSlowness, true};
+          slow.is_budget_low = is_budget_low;
+          const bool is_taken = !hedges[vm].TryTake(slow) &&
+                                own.TryTake("s", repeat_cause::kSlowness, is_budget_low, kVms);
+          taken += is_taken ? 1 : 0;
         }
         if (i % 7 == 0) {
           ++failures;
