--- a/src/experiment/report.cpp
+++ b/src/experiment/report.cpp
@@ -217,6 +217,20 @@
   text += "\n## Scenarios\n\n" + ScenarioTable(report);
   text += "\n## Rate limits\n\n" + RateTable(report);
   text += "\n## Queues\n\n" + QueueTable(report);
+  text += "\n## Hedges\n\n" + HedgeTable(report.hedges);
+  return text;
+}
+
+std::string HedgeTable(const std::vector<hedge_measure>& hedges) {
+  std::string text =
+      "| second attempts | p50 | p99 | p99.9 | hedges per request | retries per request | time of "
+      "upstreams per request |\n|---|---|---|---|---|---|---|\n";
+  for (const hedge_measure& each : hedges) {
+    text += "| " + each.rule + " | " + Format("%.0f ms", each.p50_ms) + " | " +
+            Format("%.0f ms", each.p99_ms) + " | " + Format("%.0f ms", each.p999_ms) + " | " +
+            FormatPercent(each.hedges) + " | " + FormatPercent(each.retries) + " | " +
+            Format("%.1f ms", each.work_ms) + " |\n";
+  }
   return text;
 }
 
@@ -242,7 +256,17 @@
                               {"noisy_served", each.noisy_served},
                               {"quiet_p99_ms", each.quiet_p99_ms}});
   }
-  return {{"scenarios", scenarios}, {"rates", rates}, {"queues", queues}};
+  QJsonArray hedges;
+  for (const hedge_measure& each : report.hedges) {
+    hedges.append(QJsonObject{{"rule", QString::fromStdString(each.rule)},
+                              {"p50_ms", each.p50_ms},
+                              {"p99_ms", each.p99_ms},
+                              {"p999_ms", each.p999_ms},
+                              {"hedges", each.hedges},
+                              {"retries", each.retries},
+                              {"work_ms", each.work_ms}});
+  }
+  return {{"scenarios", scenarios}, {"rates", rates}, {"queues", queues}, {"hedges", hedges}};
 }
 
 }  // namespace corianderhoist
--- a/src/experiment/report.h
+++ b/src/experiment/report.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "experiment/experiment_run.h"
+#include "experiment/hedge_comparison.h"
 #include "experiment/queue_comparison.h"
 #include "experiment/rate_comparison.h"
 
@@ -47,12 +48,14 @@
   std::vector<scenario_summary> scenarios;
   std::vector<rate_measure> rates;
   std::vector<queue_measure> queues;
+  std::vector<hedge_measure> hedges;
 };
 
 std::vector<target_check> CheckTargets(const experiment_report& report);
 
-/// Markdown: targets, scenarios, rate limits, queues.
+/// Markdown: targets, scenarios, rate limits, queues, hedges.
 std::string ToMarkdown(const experiment_report& report);
+std::string HedgeTable(const std::vector<hedge_measure>& hedges);
 QJsonObject ToJson(const experiment_report& report);
 
 }  // namespace corianderhoist
--- a/tests/unit/experiment/experiment_test.cpp
+++ b/tests/unit/experiment/experiment_test.cpp
@@ -1,6 +1,7 @@
 // Tests that runs are reproducible from their seed, that the violation counters detect violations,
 // and that the coordinators' decision modules cause no violation in the built-in scenarios.
 #include "experiment/experiment_run.h"
+#include "experiment/hedge_comparison.h"
 #include "experiment/queue_comparison.h"
 #include "experiment/rate_comparison.h"
 #include "experiment/sim_service.h"
@@ -116,5 +117,15 @@
   CPPUNIT_ASSERT_MESSAGE(report, report.find("'grey' is not one of") != std::string::npos);
 });
 
+// Guards against a limit that extra sends exceed, and against hedges that don't shorten the tail.
+const test_table kHedges("experiment", "hedges stay within their limit and shorten the tail", [] {
+  const std::vector<hedge_measure> measures = CompareHedges(1);
+  const hedge_measure& none = measures.front();
+  const hedge_measure& most = measures.back();
+  CPPUNIT_ASSERT(none.hedges == 0 && none.retries == 0);
+  CPPUNIT_ASSERT(most.hedges > 0.05 && most.hedges <= 0.1);
+  CPPUNIT_ASSERT(most.p99_ms < 0.8 * none.p99_ms && most.work_ms <= none.work_ms);
+});
+
 }  // namespace
 }  // namespace corianderhoist
--- a/tools/experiment_main.cpp
+++ b/tools/experiment_main.cpp
@@ -3,6 +3,7 @@
 //
 //   corianderhoist-experiment --all --out DIR          every figure of docs/MEASURES.md
 //   corianderhoist-experiment --scenario FILE --out DIR
+//   corianderhoist-experiment --hedges                 only the comparison of hedge limits
 //
 // Writes results.json, measures.md and plots (SVG) to DIR and the tables to standard output.
 // The exit code is 0 even if a target is missed; the tables report it.
@@ -23,6 +24,7 @@
 #include <thread>
 
 DEFINE_bool(all, false, "run all built-in scenarios and comparisons");
+DEFINE_bool(hedges, false, "print only the comparison of hedge limits");
 DEFINE_string(scenario, "", "run the scenario of this JSON file");
 DEFINE_string(out, "", "folder for the results");
 DEFINE_int32(runs, 5, "runs per scenario and policy, with seeds from the scenario's seed on");
@@ -153,6 +155,10 @@
 }
 
 int Run() {
+  if (FLAGS_hedges) {
+    std::cout << HedgeTable(CompareHedges(kComparisonSeed));
+    return 0;
+  }
   if (FLAGS_all == !FLAGS_scenario.empty() || FLAGS_runs < 1 || FLAGS_threads < 1) {
     Refuse("give either --all or --scenario FILE, and positive --runs and --threads");
   }
@@ -165,6 +171,7 @@
   if (FLAGS_all) {
     report.rates = CompareRates(kComparisonSeed);
     report.queues = CompareQueues(kComparisonSeed);
+    report.hedges = CompareHedges(kComparisonSeed);
   }
   std::cout << ToMarkdown(report);
   if (!FLAGS_out.empty()) {
