--- a/tests/support/serving_fixture.cpp
+++ b/tests/support/serving_fixture.cpp
@@ -62,6 +62,10 @@
         }
         MergeCounts(observations_.workspaces, request.seen.workspaces);
         MergeCounts(observations_.services, request.seen.services);
+        MergeLatencies(observations_.latencies, request.seen.latencies);
+        observations_.lost_races.insert(observations_.lost_races.end(),
+                                        request.seen.lost_races.begin(),
+                                        request.seen.lost_races.end());
         respond(done_reply{});
       });
   address_ = {"127.0.0.1", Expect([&] { return server_.Listen({"127.0.0.1", 0}); })};
@@ -382,6 +386,7 @@
   settings.serving.drain = {drain_delay_, drain_deadline_};
   settings.serving.buffer_bytes = buffer_bytes_;
   settings.serving.state_wait.max_requests = max_waiting_;
+  settings.serving.hedging = hedging_;
   vm_ = std::make_unique<serving_vm>(settings, platform::DecodePolicy, SystemClock());
   port_ = Expect([this] { return vm_->Start(); });
 }
--- a/tests/support/serving_fixture.h
+++ b/tests/support/serving_fixture.h
@@ -151,6 +151,8 @@
   void SetMaxWaiting(std::size_t count) { max_waiting_ = count; }
   /// The number of requests that wait for the state now.
   std::size_t Waiting();
+  /// Turns hedging on; call before `Start`.
+  void SetHedging(hedge_settings hedging) { hedging_ = std::move(hedging); }
   /// The bytes that the VM buffers now.
   std::size_t BufferedBytes();
   /// Starts the shutdown of the VM and returns once it has ended and the VM is destroyed, as at the
@@ -166,6 +168,7 @@
   std::chrono::milliseconds drain_deadline_{3000};
   std::size_t buffer_bytes_ = serving_settings().buffer_bytes;
   std::size_t max_waiting_ = 0;
+  hedge_settings hedging_;
 };
 
 }  // namespace corianderhoist
