Count the entry VMs whose requests wait, by service

Cause: no VM knows how many others wait for the same capacity, so that VMs with the same view of a service send as many requests as all of them may send together.

--- a/src/fleet/fleet_core.h
+++ b/src/fleet/fleet_core.h
@@ -13,6 +13,7 @@
 #include "fleet/serving_policy.h"
 #include "fleet/upstream_health_table.h"
 #include "fleet/usage_ledger.h"
+#include "fleet/waiting_table.h"
 #include "wire/io_loop.h"
 #include "wire/rpc.h"
 
@@ -128,6 +129,7 @@
   void RequestCounts();
   void OnCounts(const counts_reply& reply);
   void OnReport(report_request request);
+  void ApplyWaiting(const report_request& request);
   // Exchange between core VMs (fleet_core_share.cpp).
   void OnShare(share_request request);
   void QueueForSharing(const observations& seen);
@@ -182,8 +184,10 @@
   std::vector<watcher> watchers_;
   std::vector<upstream_notice> queued_notices_;
   std::vector<callback<done_reply>> queued_callbacks_;
-  load_table own_loads_;  ///< Loads that entry VMs reported to this core VM.
-  load_table all_loads_;  ///< `own_loads_` and the loads of other core VMs.
+  waiting_table own_waiting_;  ///< Of the entry VMs that report to this core VM.
+  waiting_table all_waiting_;  ///< `own_waiting_` and those of other core VMs.
+  load_table own_loads_;       ///< Loads that entry VMs reported to this core VM.
+  load_table all_loads_;       ///< `own_loads_` and the loads of other core VMs.
   /// Not yet sent to core VMs of this region, by core VM of origin.
   std::map<std::string, core_share> pending_for_region_;
   /// Not yet sent across regions, by core VM of origin.
--- a/src/fleet/fleet_core_observations.cpp
+++ b/src/fleet/fleet_core_observations.cpp
@@ -227,10 +227,20 @@
 void fleet_core::OnReport(report_request request) {
   QueueArrivals(usage_.OnReport(request));
   ApplyLoads(request.vm, request.loads);
+  ApplyWaiting(request);
   ApplyObservations(request.seen, origin::kOwnRegion);
   QueueForSharing(request.seen);
 }
 
+void fleet_core::ApplyWaiting(const report_request& request) {
+  std::vector<service_waiting> waiting;
+  for (const std::string& service : request.waiting_services) {
+    waiting.push_back({service, 1});
+  }
+  own_waiting_.Update(request.vm, waiting, clock_.Now());
+  all_waiting_.Update(request.vm, std::move(waiting), clock_.Now());
+}
+
 void fleet_core::RefreshPolicy() {
   const std::uint64_t version = state_.PolicyVersion();
   if (version == (policy_ ? policy_->Version() : 0)) {
@@ -274,6 +284,7 @@
   }
   is_near_limit_ = usage_.UpdateNearLimit(is_near_limit);
   current.blocked_requests = crashes_.Blocked(now);
+  current.waiting = all_waiting_.CoarseSums(now);
   const std::uint32_t active = usage_.UpdateFleetSize();
   // Decreases of the number of VMs by up to a tenth are not published. Each increase is, since the
   // VMs divide what is unused of a limit by it.
--- a/src/fleet/fleet_core_share.cpp
+++ b/src/fleet/fleet_core_share.cpp
@@ -44,6 +44,7 @@
   to.incarnation = from.incarnation;
   to.unreported = from.unreported;
   to.is_near_limit = from.is_near_limit;
+  to.waiting = from.waiting;
   Append(to.arrivals, from.arrivals);
   Merge(to.seen, from.seen);
   Append(to.announced, from.announced);
@@ -111,6 +112,8 @@
 void fleet_core::ExpireLoads() {
   const steady_time now = clock_.Now();
   own_loads_.Expire(kLoadTimeout, now);
+  own_waiting_.Expire(kLoadTimeout, now);
+  all_waiting_.Expire(kLoadTimeout, now);
   for (const upstream_handle upstream : all_loads_.Expire(kLoadTimeout, now)) {
     health_.SetRunning(upstream, all_loads_.Sum(upstream), now);
   }
@@ -125,6 +128,7 @@
 void fleet_core::AddChangedLoads(core_share& share, load_change_tracker& tracker) {
   const steady_time now = clock_.Now();
   usage_.AddState(share);
+  share.waiting = own_waiting_.Sums();
   for (const load_report& note : tracker.Update(own_loads_.Sums(), now)) {
     share.loads.push_back(note);
   }
@@ -240,7 +244,7 @@
   own.region = settings_.region;
   AddChangedLoads(own, loads_sent_in_region_);
   const bool is_empty = own.seen.IsEmpty() && own.announced.empty() && own.loads.empty() &&
-                        own.arrivals.empty() && own.unreported.empty();
+                        own.arrivals.empty() && own.unreported.empty() && own.waiting.empty();
   // Near a limit the others must hear that this core VM is in contact.
   if (is_empty && !is_near_limit_) {
     return;
@@ -300,6 +304,7 @@
       Merge(pending_across_regions_[share.core], share);
     }
     usage_.OnShare(share);
+    all_waiting_.Update(share.core, share.waiting, now);
     ApplyObservations(share.seen,
                       share.region == settings_.region ? origin::kOwnRegion : origin::kOtherRegion);
   }
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -108,6 +108,20 @@
   }
 };
 
+/// Entry VMs with requests that wait for capacity of a service.
+struct service_waiting {
+  std::string service;
+  std::uint32_t vms = 0;
+
+  bool operator==(const service_waiting&) const = default;
+
+  template <class Self, class Visitor>
+  static void ForEachField(Self& self, Visitor&& visit) {
+    visit(1, self.service);
+    visit(2, self.vms);
+  }
+};
+
 /// Observations since the last report.
 struct observations {
   std::vector<attempt_outcome> outcomes;
@@ -161,6 +175,7 @@
   std::vector<resent_counts> former;
   std::uint64_t former_core = 0;  ///< Incarnation of the core VM that received `former`.
   bool is_last = false;           ///< The VM has stopped and admits no more requests.
+  std::vector<std::string> waiting_services;  ///< All with requests that wait on this VM.
 
   template <class Self, class Visitor>
   static void ForEachField(Self& self, Visitor&& visit) {
@@ -170,6 +185,7 @@
     visit(4, self.former);
     visit(5, self.is_last);
     visit(6, self.former_core);
+    visit(7, self.waiting_services);
   }
 };
 
@@ -233,6 +249,7 @@
   std::vector<std::string> low_budget_services;  ///< Services whose repeat budget is running low.
   std::vector<std::uint64_t> blocked_requests;   ///< Fingerprints of requests that crash upstreams.
   std::uint32_t active_vms = 1;                  ///< Entry VMs that were active recently.
+  std::vector<service_waiting> waiting;          ///< Only services with waiting requests.
 
   bool operator==(const shared_limits&) const = default;
 
@@ -242,6 +259,7 @@
     visit(2, self.low_budget_services);
     visit(3, self.blocked_requests);
     visit(4, self.active_vms);
+    visit(5, self.waiting);
   }
 };
 
@@ -348,6 +366,8 @@
   /// the former list.
   std::vector<named_counts> unreported;
   bool is_near_limit = false;  ///< A workspace is near its limit there: counts are sent sooner.
+  /// Its VMs with waiting requests, by service. Replaces the former list.
+  std::vector<service_waiting> waiting;
 
   template <class Self, class Visitor>
   static void ForEachField(Self& self, Visitor&& visit) {
@@ -361,6 +381,7 @@
     visit(8, self.arrivals);
     visit(9, self.unreported);
     visit(10, self.is_near_limit);
+    visit(11, self.waiting);
   }
 };
 
--- a/src/serving/fleet_link.cpp
+++ b/src/serving/fleet_link.cpp
@@ -130,6 +130,7 @@
     }
     reported_.Clear();
     is_former_due_ = !delivered_.empty();
+    is_waiting_due_ = !waiting_services_.empty();
     ScheduleReport(false);
   }
   // The first call measures the round trip and requests no state: transferring the whole state from
@@ -357,6 +358,17 @@
   ScheduleReport(false);
 }
 
+void fleet_link::NoteWaiting(std::vector<std::string> services) {
+  const bool is_renewal_due = !services.empty() && clock_.Now() - waiting_reported_at_ >=
+                                                       load_change_tracker::kResendInterval;
+  if (services == waiting_services_ && !is_renewal_due) {
+    return;
+  }
+  waiting_services_ = std::move(services);
+  is_waiting_due_ = true;
+  ScheduleReport(false);
+}
+
 std::uint32_t fleet_link::ReportedLoad(upstream_handle upstream) const {
   return reported_.LastSent(upstream);
 }
@@ -433,10 +445,13 @@
   request.loads = reported_.Update(loads_, now);
   request.is_last = is_last_due_;
   if (unsent_.IsEmpty() && request.loads.empty() && undelivered_.empty() && !is_former_due_ &&
-      !is_last_due_) {
+      !is_last_due_ && !is_waiting_due_) {
     return;
   }
   request.vm = settings_.vm;
+  request.waiting_services = waiting_services_;
+  waiting_reported_at_ = now;
+  is_waiting_due_ = false;
   request.seen = std::exchange(unsent_, {});
   const bool has_former = std::exchange(is_former_due_, false);
   if (has_former) {
