Let requests wait for capacity in one queue per service

Cause: with more requests than slots each request is sent to the least loaded upstream, waits there in a short queue and is shed beyond it. Priorities are not used, and callers return at random times.

Change: service_room computes the free capacity of a service and the part of this VM; service_queue decides who waits, in which order requests are sent and which are refused; queue_dispatch connects both to requests, upstreams and reports. A request that several upstreams have shed returns to the queue once. Retry-After of refusals for a full queue, a queue timeout and a rate follows the drain rate and the workspace's part of its rate.

--- a/src/serving/request_attempts.cpp
+++ b/src/serving/request_attempts.cpp
@@ -501,7 +501,9 @@
       StartNextAttempt(was_sent)) {
     return;
   }
-  FinishWithoutAnswer();
+  if (!ReturnToQueue()) {
+    FinishWithoutAnswer();
+  }
 }
 
 // Called when the response is late compared to those of healthy upstreams.
--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -91,12 +91,7 @@
 }
 
 bool request_flow::MayStart() const {
-  const auto limit = duration_cast<milliseconds>(deadline_ - arrived_);
-  const auto known = context_.answer_times.find(route_->name);
-  const answer_estimate expected = known == context_.answer_times.end()
-                                       ? answer_estimate{route_->objective, limit}
-                                       : known->second.Estimate(route_->objective, limit);
-  return context_.drain.MayStart(context_.clock.Now(), deadline_, expected);
+  return context_.drain.MayStart(context_.clock.Now(), deadline_, ExpectedAnswer());
 }
 
 void request_flow::Start() {
@@ -209,9 +204,7 @@
   }
   context_.repeats.CountRequest(service_);
   context_.link.NoteService(service_, fleet_link::service_event::kRequest);
-  if (!StartNextAttempt(false)) {
-    Refuse(error_kind::kNoUpstream, "no upstream of the service is known or accepts requests");
-  }
+  StartOrWait();
 }
 
 // Whether the body would be streamed through buffers that requests in progress need.
@@ -229,7 +222,7 @@
 
 void request_flow::NoteAnswerTime() {
   context_.answer_times[route_->name].Add(
-      duration_cast<microseconds>(context_.clock.Now() - arrived_));
+      duration_cast<microseconds>(context_.clock.Now() - arrived_ - waited_));
 }
 
 void request_flow::Deliver(const answer_head& head, const std::string& body) {
@@ -276,7 +269,7 @@
   metrics::Instance().Counter("requests.refused_" + std::string(AnswerFor(kind).name)).Add();
   refusal why{kind, detail, {}};
   if (AnswerFor(kind).retry_after) {
-    why.retry_after = ReturnTime(context_, kind, service_);
+    why.retry_after = ReturnTime(context_, kind, service_, {workspace_, Rank()});
   }
   SendRefusal(*sink_, why, request_.id);
   Complete();
@@ -347,7 +340,8 @@
   if (is_complete_) {
     return;
   }
-  if (!has_begun_ && !MayStart()) {
+  const bool has_been_sent = has_begun_ && !context_.queues.IsWaiting(queue_id_);
+  if (!has_been_sent && !MayStart()) {
     Refuse(error_kind::kShuttingDown, "the VM is shutting down");
     return;
   }
@@ -401,6 +395,7 @@
   }
   deadline_timer_.stop();
   slow_timer_.stop();
+  context_.queues.Leave(queue_id_);
   body_->on_update = nullptr;
   sink_->on_caller_disconnected = nullptr;
   sink_->on_drained = nullptr;
@@ -427,6 +422,7 @@
   is_complete_ = true;
   deadline_timer_.stop();
   slow_timer_.stop();
+  context_.queues.Leave(queue_id_);
   CancelAttempts();
 }
 
--- a/src/serving/request_flow.h
+++ b/src/serving/request_flow.h
@@ -100,6 +100,15 @@
   bool TakeRepeat(repeat_cause cause);
   void RepeatOrFinish();
   void OnSlowTimer();
+  // Queue (request_waiting.cpp).
+  /// Sends the request to an upstream, lets it wait for capacity, or refuses it.
+  void StartOrWait();
+  /// Lets a request that upstreams have shed wait once more. Returns whether it does.
+  bool ReturnToQueue();
+  queue_verdict EnterQueue(bool is_returning);
+  void OnTurn();
+  queue_rank Rank() const;
+  answer_estimate ExpectedAnswer() const;
   // End.
   void Deliver(const answer_head& head, const std::string& body);
   void StartStreaming(const attempt_ptr& this_attempt);
@@ -154,6 +163,10 @@
   QTimer deadline_timer_;
   QTimer slow_timer_;
   bool has_trial_attempt_ = false;  ///< An attempt was a trial of its upstream.
+  std::uint64_t queue_id_ = 0;      ///< Of its last place in a queue; 0: it has not waited.
+  steady_time queued_at_{};
+  std::chrono::milliseconds waited_{};  ///< In the queue.
+  bool has_returned_ = false;           ///< To the queue, after upstreams have shed it.
   bool is_complete_ = false;
 };
 
--- a/src/serving/return_time.cpp
+++ b/src/serving/return_time.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <optional>
+#include <random>
 
 namespace corianderhoist {
 namespace {
@@ -12,6 +13,10 @@
 constexpr milliseconds kMinRetryAfter(200);
 constexpr milliseconds kRetryAfterJitter(600);
 constexpr int kLongRetryAfterJitterDivisor = 4;
+constexpr milliseconds kMinBacklogReturnTime(100);
+// A queue that has stalled gives no estimate beyond this.
+constexpr milliseconds kMaxBacklogReturnTime(10'000);
+constexpr double kReturnJitterRatio = 0.25;
 constexpr milliseconds kMinRetryElsewhere(10);
 constexpr milliseconds kRetryElsewhereJitter(90);
 
@@ -36,13 +41,58 @@
   return first.value_or(milliseconds(0));
 }
 
+milliseconds WithJitter(std::chrono::microseconds base, milliseconds longest, double draw) {
+  const auto bounded = std::clamp<std::chrono::microseconds>(base, kMinBacklogReturnTime, longest);
+  return std::chrono::ceil<milliseconds>(bounded * (1 + kReturnJitterRatio * draw));
+}
+
+// The time that the queue or the rate suggests; nothing if they say nothing about this refusal.
+std::optional<milliseconds> ScarcityReturnTime(serving_context& context,
+                                               error_kind kind,
+                                               const std::string& service,
+                                               const refused_caller& caller) {
+  if (!context.queues.IsEnabled()) {
+    return std::nullopt;
+  }
+  const double draw = std::uniform_real_distribution<>(0, 1)(context.random);
+  if (kind == error_kind::kQueueFull || kind == error_kind::kQueueTimeout) {
+    const auto backlog = context.queues.BacklogOf(service, caller.rank, context.clock.Now());
+    return backlog ? std::optional(BacklogReturnTime(backlog->ahead, backlog->interval, draw))
+                   : std::nullopt;
+  }
+  if (kind == error_kind::kOverRate && caller.workspace != nullptr) {
+    return RateReturnTime(caller.workspace->rate_per_second, context.view.Limits().active_vms,
+                          context.settings.admission.rates.window, draw);
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
-milliseconds ReturnTime(serving_context& context, error_kind kind, const std::string& service) {
+milliseconds BacklogReturnTime(std::size_t ahead, std::chrono::microseconds interval, double draw) {
+  return WithJitter(interval * ahead, kMaxBacklogReturnTime, draw);
+}
+
+milliseconds RateReturnTime(std::uint64_t rate_per_second,
+                            std::uint32_t active_vms,
+                            milliseconds window,
+                            double draw) {
+  const auto interval = std::chrono::microseconds(std::chrono::seconds(active_vms)) /
+                        std::max<std::uint64_t>(rate_per_second, 1);
+  return WithJitter(interval, std::max(window, kMinBacklogReturnTime), draw);
+}
+
+milliseconds ReturnTime(serving_context& context,
+                        error_kind kind,
+                        const std::string& service,
+                        const refused_caller& caller) {
   const auto base = AnswerFor(kind).retry_after;
   if (!base) {
     return {};
   }
+  if (const auto time = ScarcityReturnTime(context, kind, service, caller)) {
+    return *time;
+  }
   if (kind == error_kind::kShuttingDown && context.view.Limits().active_vms > 1) {
     // Other VMs can serve the caller at once.
     return kMinRetryElsewhere + DrawUpTo(context, kRetryElsewhereJitter);
--- a/src/serving/serving_context.cpp
+++ b/src/serving/serving_context.cpp
@@ -53,7 +53,8 @@
       statements(time, FastHash(RandomBytes(16))),
       limits(shared_view, time, FastHash(settings.vm)),
       random(FastHash(RandomBytes(16))),
-      drain(settings.drain) {}
+      drain(settings.drain),
+      queues(*this) {}
 
 void NoteStatement(serving_context& context,
                    upstream_handle upstream,
--- a/src/serving/serving_context.h
+++ b/src/serving/serving_context.h
@@ -9,6 +9,7 @@
 #include "serving/crash_evidence.h"
 #include "serving/fleet_link.h"
 #include "serving/fleet_view.h"
+#include "serving/queue_dispatch.h"
 #include "serving/repeat_budget.h"
 #include "serving/transfer_cost.h"
 #include "serving/upstream_call.h"
@@ -44,6 +45,7 @@
   /// Bytes that the VM may buffer for all callers and upstreams.
   std::size_t buffer_bytes = 64UL << 20U;
   drain_settings drain;
+  service_queue_settings queues;
 };
 
 class request_flow;
@@ -76,6 +78,7 @@
   std::map<std::string, answer_time> answer_times;  ///< By route.
   std::map<std::string, double> split_positions;    ///< By route; see `ChoosePart`.
   drain_schedule drain;
+  queue_dispatch queues;
 };
 
 /// Records and logs what an answer says about its upstream.
--- a/src/serving/serving_vm.cpp
+++ b/src/serving/serving_vm.cpp
@@ -57,7 +57,10 @@
   std::uint16_t port = 0;
   loop_.RunAndWait([&] {
     link_ = std::make_unique<fleet_link>(loop_, settings_.link, *view_, clock_);
-    link_->on_update = [this] { UpdateReady(); };
+    link_->on_update = [this] {
+      UpdateReady();
+      context_->queues.OnStateUpdate();
+    };
     context_ = std::make_unique<serving_context>(settings_.serving, *view_, *link_, clock_);
     front_ = std::make_unique<front_context>(front_context{
         .clock = clock_,
@@ -133,6 +136,7 @@
   }
   UpdateReady();
   GiveUpSlowCallers();
+  context_->queues.Sweep();
   if (now >= next_upstream_sweep_) {
     next_upstream_sweep_ = now + kUpstreamSweepInterval;
     context_->connections.Sweep([this](upstream_handle handle) {
@@ -267,6 +271,7 @@
   }
   return {{"is_ready", is_ready_.load()},
           {"upstream_statements", statements},
+          {"service_queues", context_->queues.Dump()},
           {"policy_version", static_cast<qint64>(view_->Policy() ? view_->Policy()->Version() : 0)},
           {"state_age_ms", static_cast<qint64>(age.count())},
           {"connections", static_cast<qint64>(connections_.size())},
--- a/src/serving/upstream_tracker.cpp
+++ b/src/serving/upstream_tracker.cpp
@@ -70,6 +70,14 @@
   record& entry = RecordOf(upstream);
   assert(entry.running > 0 && "End without a running attempt");
   link_.NoteLoad(upstream, --entry.running);
+  if (on_end) {
+    on_end(upstream);
+  }
+}
+
+std::uint32_t upstream_tracker::RunningHere(upstream_handle upstream) const {
+  const auto found = records_.find(upstream);
+  return found == records_.end() ? 0 : found->second.running;
 }
 
 void upstream_tracker::Observe(upstream_handle upstream, attempt_evidence evidence) {
--- a/src/serving/upstream_tracker.h
+++ b/src/serving/upstream_tracker.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 
@@ -44,6 +45,10 @@
   /// Returns the upstream as a candidate for a request. `may_try` tells that the request can be
   /// repeated at another upstream if it fails.
   placement_candidate CandidateOf(const known_upstream& upstream, bool may_try);
+  /// Requests of this VM that run at the upstream.
+  std::uint32_t RunningHere(upstream_handle upstream) const;
+  /// Called after each end of an attempt.
+  std::function<void(upstream_handle)> on_end;
   /// Erases the records of upstreams that are gone and run no request of this VM.
   void Sweep();
 
--- a/tests/support/serving_fixture.cpp
+++ b/tests/support/serving_fixture.cpp
@@ -354,6 +354,7 @@
   settings.serving.repeats = {0.2, milliseconds(10'000), 1000};
   settings.serving.drain = {drain_delay_, drain_deadline_};
   settings.serving.buffer_bytes = buffer_bytes_;
+  settings.serving.queues.max_requests = max_waiting_requests_;
   vm_ = std::make_unique<serving_vm>(settings, platform::DecodePolicy, SystemClock());
   port_ = Expect([this] { return vm_->Start(); });
   const auto deadline = std::chrono::steady_clock::now() + kReadyTimeout;
--- a/tests/support/serving_fixture.h
+++ b/tests/support/serving_fixture.h
@@ -136,6 +136,8 @@
   void SetDrain(std::chrono::milliseconds delay, std::chrono::milliseconds deadline);
   /// Sets the bytes that the VM may buffer; call before `Start`.
   void SetBufferBytes(std::size_t bytes) { buffer_bytes_ = bytes; }
+  /// Sets how many requests may wait for capacity; call before `Start`.
+  void SetQueue(std::size_t max_requests) { max_waiting_requests_ = max_requests; }
   /// The bytes that the VM buffers now.
   std::size_t BufferedBytes();
   /// Starts the shutdown of the VM and returns once it has ended and the VM is destroyed, as at the
@@ -150,6 +152,7 @@
   std::chrono::milliseconds drain_delay_{200};
   std::chrono::milliseconds drain_deadline_{3000};
   std::size_t buffer_bytes_ = serving_settings().buffer_bytes;
+  std::size_t max_waiting_requests_ = 0;
 };
 
 }  // namespace corianderhoist
