--- a/src/serving/request_attempts.cpp
+++ b/src/serving/request_attempts.cpp
@@ -494,7 +494,9 @@
       StartNextAttempt(was_sent)) {
     return;
   }
-  FinishWithoutAnswer();
+  if (!ReturnToQueue()) {
+    FinishWithoutAnswer();
+  }
 }
 
 }  // namespace corianderhoist
--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -91,8 +91,7 @@
 }
 
 bool request_flow::MayStart() const {
-  const auto limit = duration_cast<milliseconds>(deadline_ - arrived_);
-  return context_.drain.MayStart(context_.clock.Now(), deadline_, EstimateOf(*route_, limit));
+  return context_.drain.MayStart(context_.clock.Now(), deadline_, ExpectedAnswer());
 }
 
 answer_estimate request_flow::EstimateOf(const policy_route& route, milliseconds limit) const {
@@ -238,9 +237,7 @@
   context_.repeats.CountRequest(service_);
   context_.hedges.CountRequest(service_, route_->name);
   context_.link.NoteService(service_, fleet_link::service_event::kRequest);
-  if (!StartNextAttempt(false)) {
-    Refuse(error_kind::kNoUpstream, "no upstream of the service is known or accepts requests");
-  }
+  StartOrWait();
 }
 
 // Whether the body would be streamed through buffers that requests in progress need.
@@ -258,7 +255,7 @@
 
 void request_flow::NoteAnswerTime() {
   context_.answer_times[route_->name].Add(
-      duration_cast<microseconds>(context_.clock.Now() - arrived_));
+      duration_cast<microseconds>(context_.clock.Now() - arrived_ - waited_));
 }
 
 void request_flow::Deliver(const answer_head& head, const std::string& body) {
@@ -305,7 +302,7 @@
   metrics::Instance().Counter("requests.refused_" + std::string(AnswerFor(kind).name)).Add();
   refusal why{kind, detail, {}};
   if (AnswerFor(kind).retry_after) {
-    why.retry_after = ReturnTime(context_, kind, service_);
+    why.retry_after = ReturnTime(context_, kind, service_, {workspace_, Rank()});
   }
   SendRefusal(*sink_, why, request_.id);
   Complete();
@@ -383,7 +380,8 @@
   if (is_complete_) {
     return;
   }
-  if (waiter_id_ == 0 && !has_begun_ && !MayStart()) {
+  const bool has_been_sent = has_begun_ && !context_.queues.IsWaiting(queue_id_);
+  if (waiter_id_ == 0 && !has_been_sent && !MayStart()) {
     Refuse(error_kind::kShuttingDown, "the VM is shutting down");
     return;
   }
@@ -438,6 +436,7 @@
   }
   deadline_timer_.stop();
   slow_timer_.stop();
+  context_.queues.Leave(queue_id_);
   body_->on_update = nullptr;
   sink_->on_caller_disconnected = nullptr;
   sink_->on_drained = nullptr;
@@ -465,6 +464,7 @@
   is_complete_ = true;
   deadline_timer_.stop();
   slow_timer_.stop();
+  context_.queues.Leave(queue_id_);
   CancelAttempts();
 }
 
--- a/src/serving/serving_context.cpp
+++ b/src/serving/serving_context.cpp
@@ -55,7 +55,8 @@
       limits(shared_view, time, FastHash(settings.vm)),
       random(FastHash(RandomBytes(16))),
       drain(settings.drain),
-      waits(settings.state_wait, settings.admission.withdrawal_bound, buffers, time.Now()) {}
+      waits(settings.state_wait, settings.admission.withdrawal_bound, buffers, time.Now()),
+      queues(*this) {}
 
 void NoteStatement(serving_context& context,
                    upstream_handle upstream,
--- a/src/serving/serving_context.h
+++ b/src/serving/serving_context.h
@@ -10,6 +10,7 @@
 #include "serving/fleet_link.h"
 #include "serving/fleet_view.h"
 #include "serving/hedge_policy.h"
+#include "serving/queue_dispatch.h"
 #include "serving/repeat_budget.h"
 #include "serving/state_wait.h"
 #include "serving/transfer_cost.h"
@@ -48,6 +49,7 @@
   std::size_t buffer_bytes = 64UL << 20U;
   drain_settings drain;
   state_wait_settings state_wait;
+  service_queue_settings queues;
 };
 
 class request_flow;
@@ -83,6 +85,7 @@
   drain_schedule drain;
   state_wait waits;
   std::map<state_wait::waiter_id, std::weak_ptr<request_flow>> waiting_flows;
+  queue_dispatch queues;
 };
 
 /// Records and logs what an answer says about its upstream.
--- a/src/serving/serving_vm.cpp
+++ b/src/serving/serving_vm.cpp
@@ -69,6 +69,7 @@
     link_->on_update = [this] {
       UpdateReady();
       ReviewWaiting(*context_);
+      context_->queues.OnStateUpdate();
     };
     context_ = std::make_unique<serving_context>(settings_.serving, *view_, *link_, clock_);
     front_ = std::make_unique<front_context>(front_context{
@@ -146,6 +147,7 @@
   UpdateReady();
   ReviewWaiting(*context_);
   GiveUpSlowCallers();
+  context_->queues.Sweep();
   if (now >= next_upstream_sweep_) {
     next_upstream_sweep_ = now + kUpstreamSweepInterval;
     context_->connections.Sweep([this](upstream_handle handle) {
@@ -281,6 +283,7 @@
   }
   return {{"is_ready", is_ready_.load()},
           {"upstream_statements", statements},
+          {"service_queues", context_->queues.Dump()},
           {"policy_version", static_cast<qint64>(view_->Policy() ? view_->Policy()->Version() : 0)},
           {"state_age_ms", static_cast<qint64>(age.count())},
           {"connections", static_cast<qint64>(connections_.size())},
--- a/tests/support/serving_fixture.cpp
+++ b/tests/support/serving_fixture.cpp
@@ -387,6 +387,7 @@
   settings.serving.buffer_bytes = buffer_bytes_;
   settings.serving.state_wait.max_requests = max_waiting_;
   settings.serving.hedging = hedging_;
+  settings.serving.queues.max_requests = max_waiting_requests_;
   vm_ = std::make_unique<serving_vm>(settings, platform::DecodePolicy, SystemClock());
   port_ = Expect([this] { return vm_->Start(); });
 }
--- a/tests/support/serving_fixture.h
+++ b/tests/support/serving_fixture.h
@@ -153,6 +153,8 @@
   std::size_t Waiting();
   /// Turns hedging on; call before `Start`.
   void SetHedging(hedge_settings hedging) { hedging_ = std::move(hedging); }
+  /// Sets how many requests may wait for capacity; call before `Start`.
+  void SetQueue(std::size_t max_requests) { max_waiting_requests_ = max_requests; }
   /// The bytes that the VM buffers now.
   std::size_t BufferedBytes();
   /// Starts the shutdown of the VM and returns once it has ended and the VM is destroyed, as at the
@@ -169,6 +171,7 @@
   std::size_t buffer_bytes_ = serving_settings().buffer_bytes;
   std::size_t max_waiting_ = 0;
   hedge_settings hedging_;
+  std::size_t max_waiting_requests_ = 0;
 };
 
 }  // namespace corianderhoist
