--- a/src/serving/fleet_link.cpp
+++ b/src/serving/fleet_link.cpp
@@ -79,11 +79,11 @@
 }
 
 // Returns the core VM in the VM's own data centre or else with the shortest round trip that is not
-// backed off. Unmeasured ones come first, so that each gets measured, but not before the VM has a
-// state. If all are backed off, returns the one whose backoff ends first.
+// backed off. Unmeasured ones come last: they are probed beside the watch calls, and one that does
+// not answer would hold up the news for as long as its probe lasts. If all are backed off, returns
+// the one whose backoff ends first.
 fleet_link::core_vm* fleet_link::ChooseCore() {
   const steady_time now = clock_.Now();
-  const bool is_state_missing = !view_.Policy();
   core_vm* best = nullptr;
   const auto is_better = [&](const core_vm& a, const core_vm& b) {
     const bool is_a_backed_off = a.backoff_until > now;
@@ -95,11 +95,10 @@
       return a.backoff_until < b.backoff_until;
     }
     const bool is_a_measured = a.round_trip.count() > 0;
-    if (is_state_missing && is_a_measured != (b.round_trip.count() > 0)) {
+    if (is_a_measured != (b.round_trip.count() > 0)) {
       return is_a_measured;
     }
-    const bool are_measured = a.round_trip.count() > 0 && b.round_trip.count() > 0;
-    if (are_measured && a.is_same_data_centre != b.is_same_data_centre) {
+    if (a.is_same_data_centre != b.is_same_data_centre) {
       return a.is_same_data_centre;
     }
     return a.round_trip < b.round_trip;
@@ -299,7 +298,8 @@
   next_probe_ = now + kProbeInterval;
   for (const auto& [address, each] : cores_) {
     core_vm* other = each.get();
-    if (other == current_ || other->round_trip.count() != 0 || other->backoff_until > now) {
+    if (other == current_ || other->is_probed || other->round_trip.count() != 0 ||
+        other->backoff_until > now) {
       continue;
     }
     watch_request request = MakeProbeRequest();
--- a/src/serving/fleet_link.h
+++ b/src/serving/fleet_link.h
@@ -79,6 +79,7 @@
     steady_time backoff_until{};
     int failures = 0;
     bool is_same_data_centre = false;
+    bool is_probed = false;  ///< A probe of the start is in progress.
   };
 
   struct timed_counts {
@@ -92,7 +93,9 @@
   core_vm* ChooseCore();
   void Watch();
   // Start (fleet_link_start.cpp).
-  /// Whether the process is young and has no state yet.
+  /// Whether the process has started shortly before.
+  bool IsYoung() const;
+  /// The same, and it has no state yet.
   bool IsStarting() const;
   void ProbeAtStart(core_vm& peer);
   void OnStartProbe(core_vm& peer, const rpc_result<watch_reply>& reply, steady_time sent_at);
--- a/src/serving/fleet_link_start.cpp
+++ b/src/serving/fleet_link_start.cpp
@@ -14,7 +14,7 @@
 
 using std::chrono::milliseconds;
 
-// After this time without any answer, seeds are tried one after the other, with growing pauses.
+// From then on a seed that has not answered is probed like any other core VM, with growing pauses.
 constexpr milliseconds kStartTime(10'000);
 constexpr milliseconds kStartProbeTimeout(700);
 constexpr milliseconds kMinStartRetry(20);
@@ -32,8 +32,12 @@
   }
 }
 
+bool fleet_link::IsYoung() const {
+  return clock_.Now() - started_at_ < kStartTime;
+}
+
 bool fleet_link::IsStarting() const {
-  return !view_.Policy() && clock_.Now() - started_at_ < kStartTime;
+  return !view_.Policy() && IsYoung();
 }
 
 void fleet_link::ProbeAtStart(core_vm& peer) {
@@ -41,6 +45,7 @@
   request.vm = settings_.vm;
   request.data_centre = settings_.data_centre;
   request.cores_digest = cores_digest_;
+  peer.is_probed = true;
   const steady_time sent_at = clock_.Now();
   ChannelOf(peer).Call<watch_reply>(
       "fleet.watch", request, kStartProbeTimeout,
@@ -54,8 +59,9 @@
 void fleet_link::OnStartProbe(core_vm& peer,
                               const rpc_result<watch_reply>& reply,
                               steady_time sent_at) {
+  peer.is_probed = false;
   const auto* news = std::get_if<watch_reply>(&reply);
-  if (news == nullptr && !is_watching_ && IsStarting()) {
+  if (news == nullptr && IsYoung()) {
     const auto jitter =
         std::uniform_int_distribution<std::int64_t>(0, kStartRetryJitter.count())(random_);
     loop_.After(kMinStartRetry + milliseconds(jitter), [this, alive = is_alive_, &peer] {
--- a/tests/support/serving_fixture.cpp
+++ b/tests/support/serving_fixture.cpp
@@ -76,14 +76,15 @@
   if (is_silent_) {
     return;
   }
+  const steady_time arrived = SystemClock().Now();
   if (MustAwait(request)) {
     ++awaiting_calls_;
-    loop_.After(milliseconds(1), [this, request, respond] { Respond(request, respond); });
+    Respond(request, arrived, respond);
     return;
   }
   // The hold of at most 50 ms keeps the VM from polling in a busy loop.
   loop_.After(std::min(request.hold, milliseconds(50)),
-              [this, request, respond] { Respond(request, respond); });
+              [this, request, arrived, respond] { Respond(request, arrived, respond); });
 }
 
 bool fake_core::MustAwait(const watch_request& request) const {
@@ -91,15 +92,18 @@
   return request.awaits_state && request.hold.count() > 0 && state_.policy.version == 0;
 }
 
-void fake_core::Respond(const watch_request& request, const rpc_callback<watch_reply>& respond) {
-  if (MustAwait(request)) {
-    loop_.After(milliseconds(1), [this, request, respond] { Respond(request, respond); });
+void fake_core::Respond(const watch_request& request,
+                        steady_time arrived,
+                        const rpc_callback<watch_reply>& respond) {
+  if (MustAwait(request) && SystemClock().Now() - arrived < request.hold) {
+    loop_.After(milliseconds(1),
+                [this, request, arrived, respond] { Respond(request, arrived, respond); });
     return;
   }
   const std::lock_guard guard(lock_);
   watch_reply reply;
   reply.core_incarnation = 1;
-  reply.held = std::min(request.hold, milliseconds(50));
+  reply.held = std::chrono::duration_cast<milliseconds>(SystemClock().Now() - arrived);
   reply.changes.index = state_.index;
   reply.changes.is_whole_roster = request.roster_index == 0;
   if (request.policy_version < state_.policy.version) {
--- a/tests/support/serving_fixture.h
+++ b/tests/support/serving_fixture.h
@@ -39,7 +39,7 @@
   /// The number of watch requests that are held until there is a state.
   std::size_t AwaitingCalls() const { return awaiting_calls_; }
   /// Removes the policy, as in a core VM that has no leader yet: calls that await a state are held
-  /// until `SetPolicy`.
+  /// until `SetPolicy` or the end of their hold.
   void RemovePolicy();
   /// Stops or resumes answering watch requests.
   void SetSilent(bool is_silent) { is_silent_ = is_silent; }
@@ -47,7 +47,9 @@
 
  private:
   void Answer(const watch_request& request, const rpc_callback<watch_reply>& respond);
-  void Respond(const watch_request& request, const rpc_callback<watch_reply>& respond);
+  void Respond(const watch_request& request,
+               steady_time arrived,
+               const rpc_callback<watch_reply>& respond);
   bool MustAwait(const watch_request& request) const;
 
   mutable std::mutex lock_;
--- a/tests/unit/fleet/answer_pacing_test.cpp
+++ b/tests/unit/fleet/answer_pacing_test.cpp
@@ -15,6 +15,7 @@
   current.roster_index = 20;
   current.limits_revision = 2;
   current.conditions_revision = 90;
+  current.has_recent_state = true;
   current.urgent_revisions = {{"dc1", 80}, {"dc2", 90}};
   return current;
 }
@@ -51,6 +52,16 @@
          [](auto& known) { known.conditions_revision = 79; }, pending_news::kUrgent},
         {"a failure in another data centre", "dc1",
          [](auto& known) { known.conditions_revision = 85; }, pending_news::kHints},
+        {"a recent state that is awaited", "dc1", [](auto& known) { known.awaits_state = true; },
+         pending_news::kUrgent},
+        {"an awaited state that is older than the known one", "dc1",
+         [](auto& known) {
+           known.awaits_state = true;
+           known.roster_index = 21;
+         },
+         pending_news::kNone},
+        {"limits that are awaited and not reliable yet", "dc1",
+         [](auto& known) { known.awaits_limits = true; }, pending_news::kNone},
         {"loads", "dc3", [](auto& known) { known.conditions_revision = 10; }, pending_news::kHints},
     },
     std::function([](const news_case& row) {
--- a/tests/unit/serving/fleet_link_test.cpp
+++ b/tests/unit/serving/fleet_link_test.cpp
@@ -3,6 +3,7 @@
 #include "support/serving_fixture.h"
 #include "support/test_table.h"
 
+#include <algorithm>
 #include <thread>
 
 namespace corianderhoist {
@@ -53,5 +54,35 @@
                                   CPPUNIT_ASSERT(has_moved);
                                 });
 
+// Guards against a VM that tries its seeds one after the other: two that did not answer kept it
+// from the third for several seconds.
+const test_table kSilentSeeds("fleet link", "seeds that do not answer keep no VM from another", [] {
+  serving_fixture fixture;
+  fake_core first(serving_fixture::PolicyDocument(), 1);
+  fake_core second(serving_fixture::PolicyDocument(), 1);
+  std::vector<fake_core*> cores = {&fixture.Core(), &first, &second};
+  std::sort(cores.begin(), cores.end(),
+            [](auto* left, auto* right) { return left->Address() < right->Address(); });
+  cores[0]->SetSilent(true);
+  cores[1]->SetSilent(true);
+  fixture.StartUnready({cores[0]->Address(), cores[1]->Address(), cores[2]->Address()});
+  fixture.WaitUntilReady();
+  CPPUNIT_ASSERT(cores[0]->WatchCalls() + cores[1]->WatchCalls() <= 2);
+});
+
+// Guards against a VM that hears of the state only with its next call, or that floods a core VM
+// which has none yet.
+const test_table kAwaited("fleet link", "a call to a core VM without state waits for it", [] {
+  serving_fixture fixture;
+  fixture.Core().RemovePolicy();
+  fixture.StartUnready();
+  std::this_thread::sleep_for(milliseconds(1000));
+  CPPUNIT_ASSERT(!fixture.Vm().IsReady());
+  CPPUNIT_ASSERT(fixture.Core().AwaitingCalls() > 0);
+  CPPUNIT_ASSERT(fixture.Core().WatchCalls() <= 8);
+  fixture.Core().SetPolicy(serving_fixture::PolicyDocument(), 1);
+  fixture.WaitUntilReady();
+});
+
 }  // namespace
 }  // namespace corianderhoist
--- a/tests/unit/serving/state_wait_test.cpp
+++ b/tests/unit/serving/state_wait_test.cpp
@@ -96,32 +96,26 @@
   bool waits;
 };
 
+const std::vector<start_case> kStarts = {
+    {"with a long deadline waits", {}, milliseconds(5000), {}, true},
+    {"with a short deadline is refused", {}, milliseconds(1500), {}, false},
+    {"without a deadline is refused", {}, milliseconds(0), {}, false},
+    {"of a slow route is refused", {}, milliseconds(5000), milliseconds(4000), false},
+    {"in a long gap is refused", milliseconds(4000), milliseconds(1000), {}, false},
+    {"in a long gap waits", milliseconds(4000), milliseconds(5000), {}, true},
+    {"without contact is refused", milliseconds(5100), milliseconds(60'000), {}, false},
+};
+
 // Guards against requests that wait although their callers are gone before the state can come.
-const test_table kStart(
-    "a request without policy",
-    std::vector<start_case>{
-        {"with a long deadline waits", {}, milliseconds(5000), {}, true},
-        {"with a short deadline is refused", {}, milliseconds(1500), {}, false},
-        {"without a deadline is refused", {}, milliseconds(0), {}, false},
-        {"of a slow route is refused", {}, milliseconds(5000), milliseconds(4000), false},
-        {"during a long gap waits only with a long deadline",
-         milliseconds(4000),
-         milliseconds(1000),
-         {},
-         false},
-        {"during a long gap waits", milliseconds(4000), milliseconds(5000), {}, true},
-        {"without contact for longer than the lease is refused",
-         milliseconds(5100),
-         milliseconds(60'000),
-         {},
-         false},
-    },
-    std::function([](const start_case& row) {
-      waiting_vm vm;
-      vm.Run(row.since_start);
-      const auto waiter = vm.Waiter(row.limit, row.response_time);
-      CPPUNIT_ASSERT_EQUAL(row.waits, vm.waits.TryStart(waiter, vm.clock.Now()).has_value());
-    }));
+const test_table kStart("a request without policy",
+                        kStarts,
+                        std::function([](const start_case& row) {
+                          waiting_vm vm;
+                          vm.Run(row.since_start);
+                          const auto waiter = vm.Waiter(row.limit, row.response_time);
+                          const auto id = vm.waits.TryStart(waiter, vm.clock.Now());
+                          CPPUNIT_ASSERT_EQUAL(row.waits, id.has_value());
+                        }));
 
 // Guards against callers that wait until their deadline for a state that does not come.
 const test_table kEndless("state wait",
@@ -210,25 +204,20 @@
 // Guards against an estimate that ignores how long the state was missing before.
 const test_table kLearned("state wait", "long gaps make the next estimate longer", [] {
   waiting_vm vm;
-  vm.Receive();
-  vm.Run(milliseconds(200));
-  const auto gap = [&](milliseconds time) {
-    vm.known.is_recent = false;
-    vm.Run(time);
+  const auto expected_after = [&](milliseconds gap) {
+    for (int i = 0; i < 4; ++i) {
+      vm.Receive();
+      vm.known.is_recent = false;
+      vm.Run(gap);
+    }
     vm.Receive();
+    vm.known.is_recent = false;
+    vm.Run(kSweep);
+    return vm.Expected();
   };
-  gap(milliseconds(100));
-  vm.known.is_recent = false;
-  vm.Run(kSweep);
-  const milliseconds after_short = vm.Expected();
-  for (int i = 0; i < 4; ++i) {
-    vm.Receive();
-    gap(milliseconds(3000));
-  }
-  vm.known.is_recent = false;
-  vm.Run(kSweep);
-  CPPUNIT_ASSERT(vm.Expected() > after_short + milliseconds(1000));
-  CPPUNIT_ASSERT(vm.Expected() <= kLease);
+  const milliseconds after_short = expected_after(milliseconds(100));
+  const milliseconds after_long = expected_after(milliseconds(3000));
+  CPPUNIT_ASSERT(after_long > after_short + milliseconds(1000) && after_long <= kLease);
 });
 
 }  // namespace
