Make the test of a cancelled hedge independent of the load of the machine

Cause: beside other builds (load 25 on 7 cores) a new connection took up to 0.9 s, and its late answer was counted as an outcome: about 1 of 100 runs failed. Change: the test compares what is reported before and after the hedge, and waits for reports. The test fails if the losing attempt isn't cancelled.

--- a/tests/unit/serving/hedge_policy_test.cpp
+++ b/tests/unit/serving/hedge_policy_test.cpp
@@ -233,45 +233,60 @@
                            CPPUNIT_ASSERT(!IsCancelled({true, false, {}, 0}));
                          });
 
+std::uint64_t CountedTimes(const observations& seen) {
+  std::uint64_t counted = 0;
+  for (const latency_counts& service : seen.latencies) {
+    for (const bucket_count& each : service.buckets) {
+      counted += each.count;
+    }
+  }
+  return counted;
+}
+
+// Waits until `condition` holds; at most 5 s.
+bool WaitFor(const std::function<bool()>& condition) {
+  for (int i = 0; i < 500 && !condition(); ++i) {
+    std::this_thread::sleep_for(milliseconds(10));
+  }
+  return condition();
+}
+
 // Guards against an upstream that runs a request on after another one has answered it, and against
 // a cancelled attempt that is reported as a success or a failure.
-const test_table kWiring("hedging", "a slow attempt is hedged early and cancelled", [] {
+const test_table kWiring("hedging", "a slow attempt is hedged and cancelled without a verdict", [] {
   serving_fixture fixture;
   fixture.SetHedging({0.2, {}, {}});
   std::atomic<bool> has_hung = false;
   const auto script = [&has_hung](const scripted_request& request) {
-    return request.Header("X-Attempt-Id") == "id5" && !has_hung.exchange(true)
+    return request.Header("X-Attempt-Id") == "last" && !has_hung.exchange(true)
                ? scripted_answer{"", after_answer::kHang}
                : scripted_answer{SignedAnswer(request, 200, "ok")};
   };
-  std::vector<scripted_upstream*> upstreams{&fixture.Add("u1", "reads", script),
-                                            &fixture.Add("u2", "reads", script)};
+  const scripted_upstream& first = fixture.Add("u1", "reads", script);
+  const scripted_upstream& second = fixture.Add("u2", "reads", script);
   shared_limits limits;
-  limits.latency_digests.push_back({"reads", kDigest.quantiles});
+  // 256 ms: a busy machine rarely takes that long, and the tokens allow for one request that does.
+  limits.latency_digests.push_back({"reads", std::vector<std::uint32_t>(8, 32)});
   fixture.Core().SetLimits(limits);
   fixture.Start();
-  for (int i = 0; i < 6; ++i) {
+  constexpr std::uint64_t kRequests = 12;
+  for (std::uint64_t i = 0; i < kRequests; ++i) {
     CPPUNIT_ASSERT_EQUAL(200, fixture.Call({.id = "id" + std::to_string(i)}).status);
   }
-  const auto abandoned = [&] {
-    return upstreams[0]->AbandonedConnections() + upstreams[1]->AbandonedConnections();
-  };
-  for (int i = 0; i < 200 && abandoned() == 0; ++i) {
-    std::this_thread::sleep_for(milliseconds(10));
-  }
-  CPPUNIT_ASSERT_EQUAL(1, abandoned());
-  std::this_thread::sleep_for(milliseconds(100));  // Reports are sent after at most 15 ms.
-  const observations seen = fixture.Core().ReportedObservations();
-  CPPUNIT_ASSERT_EQUAL(std::size_t(1), seen.lost_races.size());
-  CPPUNIT_ASSERT_EQUAL(std::size_t(6), seen.outcomes.size());
-  for (const attempt_outcome& outcome : seen.outcomes) {
-    CPPUNIT_ASSERT(outcome.evidence == attempt_evidence::kGood);
-  }
-  std::uint64_t counted = 0;
-  for (const bucket_count& each : seen.latencies.at(0).buckets) {
-    counted += each.count;
+  const auto seen = [&] { return fixture.Core().ReportedObservations(); };
+  CPPUNIT_ASSERT(WaitFor([&] { return CountedTimes(seen()) == kRequests; }));
+  CPPUNIT_ASSERT(WaitFor([&] { return seen().outcomes.size() >= kRequests; }));
+  const observations before = seen();
+  CPPUNIT_ASSERT_EQUAL(200, fixture.Call({.id = "last"}).status);
+  CPPUNIT_ASSERT(
+      WaitFor([&] { return first.AbandonedConnections() + second.AbandonedConnections() == 1; }));
+  CPPUNIT_ASSERT(WaitFor([&] { return CountedTimes(seen()) == kRequests + 1; }));
+  CPPUNIT_ASSERT(WaitFor([&] { return seen().outcomes.size() > before.outcomes.size(); }));
+  const observations after = seen();
+  CPPUNIT_ASSERT_EQUAL(before.lost_races.size() + 1, after.lost_races.size());
+  for (std::size_t i = before.outcomes.size(); i < after.outcomes.size(); ++i) {
+    CPPUNIT_ASSERT(after.outcomes[i].upstream != after.lost_races.back().upstream);
   }
-  CPPUNIT_ASSERT_EQUAL(std::uint64_t(6), counted);
 });
 
 }  // namespace
