Scale a region's counts to the fleet only while other counts are late

Cause: a core VM took the requests of its region, scaled by the VMs of the fleet, as a lower bound of a workspace's requests in the whole window. Small workspaces differ by chance between regions, and a region may have more callers for each VM than others: all refusals within the rate of VMs in contact came from this bound.

Change: it is used for the time only in which counts of other regions may be late (300 ms near a limit, else 1.5 s, and a bucket). Older counts have arrived, or their core VM counts as silent. The scaled counts are an estimate one standard deviation below their proportion (EstimateFleetCount).

--- a/src/fleet/fleet_usage.cpp
+++ b/src/fleet/fleet_usage.cpp
@@ -387,21 +387,31 @@
   return sum;
 }
 
-// Counts of other regions may be late or missing. Callers are spread over the regions, so the
-// region's own counts, scaled to the fleet, are used as a lower bound of the total.
+// The counts of other regions are late by this time. Core VMs that have not been heard for longer
+// are in `unreported_by_cores_`.
+milliseconds fleet_usage::CountDelay() const {
+  const bool is_near_limit = near_limit_since_ && clock_.Now() >= *near_limit_since_;
+  return (is_near_limit ? kCoreSilenceNearLimit : kCoreSilence) + sliding_count::kBucketDuration;
+}
+
+// Callers are spread over the regions, so where the counts of other regions are late, the region's
+// own counts, scaled to the fleet, are used as a lower bound of the total. They are not used for
+// the time before: small workspaces differ by chance between the regions.
 workspace_usage fleet_usage::UsageOf(const std::string& workspace,
                                      const workspace_rate& limit) const {
   const steady_time now = clock_.Now();
   const double ratio = FleetToRegionRatio();
   const workspace_usage all = all_.UsageOf(workspace, settings_.rates, now);
-  const workspace_usage own = regional_.UsageOf(workspace, settings_.rates, now);
-  const double unreported = UnreportedBy(workspace);
+  const workspace_usage own = regional_.UsageOf(workspace, settings_.rates, now, ratio);
+  const double late = EstimateFleetCount(regional_.Admitted(workspace, CountDelay(), now), ratio) -
+                      all_.Admitted(workspace, CountDelay(), now);
+  const double uncounted = std::max(UnreportedBy(workspace), late);
   workspace_usage bound;
   for (std::size_t i = 0; i < bound.spent.size(); ++i) {
-    bound.spent[i] = std::max(all.spent[i] + unreported, own.spent[i] * ratio);
+    bound.spent[i] = all.spent[i] + uncounted;
   }
-  bound.admitted_rate = std::max(all.admitted_rate, own.admitted_rate * ratio);
-  bound.demand_rate = std::max(all.demand_rate, own.demand_rate * ratio);
+  bound.admitted_rate = std::max(all.admitted_rate, own.admitted_rate);
+  bound.demand_rate = std::max(all.demand_rate, own.demand_rate);
   return WithAssumedEarlierUsage(bound, limit, settings_.rates,
                                  duration_cast<milliseconds>(now - counting_since_));
 }
--- a/src/fleet/fleet_usage.h
+++ b/src/fleet/fleet_usage.h
@@ -110,6 +110,7 @@
     }
   };
 
+  std::chrono::milliseconds CountDelay() const;
   std::vector<vm_arrival> ArrivalFrom(const std::string& vm, std::uint64_t former_core);
   void OnArrivals(const std::vector<vm_arrival>& arrivals);
   void CountForPeer(const core_share& share);
--- a/src/fleet/usage_ledger.cpp
+++ b/src/fleet/usage_ledger.cpp
@@ -1,6 +1,7 @@
 #include "fleet/usage_ledger.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace corianderhoist {
 namespace {
@@ -36,17 +37,19 @@
 constexpr double kDegradedFailureRatio = 0.075;
 
 // Requests per second: the larger of a long-window and a short-window estimate.
-double RateOf(const sliding_count& count, steady_time now) {
+double RateOf(const sliding_count& count, steady_time now, double ratio) {
   const double short_windows_per_second =
       std::chrono::duration<double>(kRateWindow) / kShortRateWindow;
-  return std::max(static_cast<double>(count.Sum(kRateWindow, now)),
-                  static_cast<double>(count.Sum(kShortRateWindow, now)) * short_windows_per_second);
+  const auto estimate = [&](milliseconds window) {
+    return EstimateFleetCount(static_cast<double>(count.Sum(window, now)), ratio);
+  };
+  return std::max(estimate(kRateWindow), estimate(kShortRateWindow) * short_windows_per_second);
 }
 
 // The highest short-window rate of recent time: callers that pause come back sooner than a decision
 // reaches the VMs.
 template <class Counts>
-double PeakRateOf(const Counts& counts, steady_time now) {
+double PeakRateOf(const Counts& counts, steady_time now, double ratio) {
   const double short_windows_per_second =
       std::chrono::duration<double>(kRateWindow) / kShortRateWindow;
   std::uint64_t peak = 0;
@@ -54,7 +57,9 @@
     peak = std::max(peak, counts.admitted.Sum(kShortRateWindow, now - age) +
                               counts.refused.Sum(kShortRateWindow, now - age));
   }
-  return peak < kMinPeakRequests ? 0 : static_cast<double>(peak) * short_windows_per_second;
+  return peak < kMinPeakRequests
+             ? 0
+             : EstimateFleetCount(static_cast<double>(peak), ratio) * short_windows_per_second;
 }
 
 std::int64_t BucketOf(steady_time now) {
@@ -72,6 +77,12 @@
       base, base * (1 + tolerance.excess - reserved_ratio) + tolerance.slack - kReservedRequests);
 }
 
+double EstimateFleetCount(double counted, double ratio) {
+  // The counted requests are a sample: each came to this part with a probability of 1 / ratio.
+  const double deviation = std::sqrt(counted * (1 - 1 / ratio));
+  return std::max(counted, ratio * (counted - deviation));
+}
+
 void sliding_count::Add(std::uint64_t amount, steady_time now) {
   const std::int64_t number = BucketOf(now);
   bucket& current = buckets_[static_cast<std::size_t>(number) % kBuckets];
@@ -118,16 +129,17 @@
 
 workspace_usage usage_ledger::UsageOf(const std::string& workspace,
                                       const rate_tolerance& tolerance,
-                                      steady_time now) const {
+                                      steady_time now,
+                                      double ratio) const {
   const auto found = workspaces_.find(workspace);
   if (found == workspaces_.end()) {
     return {};
   }
   const workspace_counts& counts = found->second;
   workspace_usage usage;
-  usage.admitted_rate = RateOf(counts.admitted, now);
-  usage.demand_rate =
-      std::max(usage.admitted_rate + RateOf(counts.refused, now), PeakRateOf(counts, now));
+  usage.admitted_rate = RateOf(counts.admitted, now, ratio);
+  usage.demand_rate = std::max(usage.admitted_rate + RateOf(counts.refused, now, ratio),
+                               PeakRateOf(counts, now, ratio));
   for (std::size_t i = 0; i < usage.spent.size(); ++i) {
     usage.spent[i] = static_cast<double>(
         counts.admitted.Sum(tolerance.window - workspace_usage::kHorizons[i], now));
@@ -135,6 +147,14 @@
   return usage;
 }
 
+double usage_ledger::Admitted(const std::string& workspace,
+                              milliseconds window,
+                              steady_time now) const {
+  const auto found = workspaces_.find(workspace);
+  return found == workspaces_.end() ? 0
+                                    : static_cast<double>(found->second.admitted.Sum(window, now));
+}
+
 service_usage usage_ledger::UsageOf(const std::string& service,
                                     const repeat_bound& bound,
                                     steady_time now) const {
--- a/src/fleet/usage_ledger.h
+++ b/src/fleet/usage_ledger.h
@@ -61,6 +61,12 @@
   double demand_rate = 0;    ///< The same, admitted and refused.
 };
 
+/// A cautious estimate of the requests of the whole fleet, from those that were counted in a part
+/// of it with one of `ratio` VMs: a standard deviation of the counted ones below their proportion.
+/// It answers a demand that has risen before the counts of other parts arrive; the deviation keeps
+/// few requests of a small workspace, which differ by chance, from looking like a rise.
+double EstimateFleetCount(double counted, double ratio);
+
 /// Repeat budget of a service: at most ratio x requests + extra repeats in any `window`.
 struct repeat_bound {
   double ratio = 0.2;  ///< Repeats per request.
@@ -144,9 +150,16 @@
                     std::uint64_t failures,
                     steady_time now);
 
+  /// `ratio`: the VMs of the fleet per VM that is counted here, for the rates; see
+  /// `EstimateFleetCount`.
   workspace_usage UsageOf(const std::string& workspace,
                           const rate_tolerance& tolerance,
-                          steady_time now) const;
+                          steady_time now,
+                          double ratio = 1) const;
+  /// Admitted requests of the last `window`.
+  double Admitted(const std::string& workspace,
+                  std::chrono::milliseconds window,
+                  steady_time now) const;
   service_usage UsageOf(const std::string& service,
                         const repeat_bound& bound,
                         steady_time now) const;
