--- a/src/experiment/scarcity_comparison.cpp
+++ b/src/experiment/scarcity_comparison.cpp
@@ -1,6 +1,7 @@
 #include "experiment/scarcity_comparison.h"
 
 #include "experiment/event_queue.h"
+#include "experiment/scarcity_upstreams.h"
 #include "http/answer_time.h"
 #include "serving/placement.h"
 #include "serving/return_time.h"
@@ -8,8 +9,8 @@
 
 #include <algorithm>
 #include <bit>
-#include <cmath>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -25,16 +26,10 @@
 using std::chrono::seconds;
 
 constexpr std::size_t kVms = 110;
-constexpr std::size_t kUpstreams = 16;
-constexpr std::size_t kSlowUpstreams = 5;
-constexpr double kSlowFactor = 3;
-constexpr std::uint32_t kSlots = 4;
-constexpr std::size_t kUpstreamQueue = 8;
-constexpr double kResponseSeconds = 0.25;
-constexpr double kResponseLogSigma = 0.5;
+constexpr std::size_t kUpstreams = scarcity_upstreams::kUpstreams;
+constexpr std::uint32_t kSlots = scarcity_upstreams::kSlots;
 constexpr milliseconds kObjective(1000);
 constexpr milliseconds kTimeout(2000);
-constexpr milliseconds kNetworkTime(5);
 constexpr std::size_t kWorkspaces = 79;
 constexpr double kMinRequestsOfWorst = 20;
 constexpr std::uint32_t kWorkspacePriorities = 3;
@@ -75,12 +70,6 @@
 };
 using request_ptr = std::shared_ptr<vm_request>;
 
-struct sim_upstream {
-  double mean_seconds = kResponseSeconds;
-  std::uint32_t busy = 0;
-  std::deque<request_ptr> waiting;
-};
-
 struct sim_vm {
   service_queues queues{{kMaxWaiting}};
   std::deque<request_ptr> fifo;
@@ -98,17 +87,13 @@
   double requests = 0;
   double served = 0;
   double in_time = 0;
-
   double InTime() const { return requests > 0 ? in_time / requests : 1; }
 };
 
 class scarcity_simulation {
  public:
   scarcity_simulation(scarcity_policy policy, std::uint32_t seed)
-      : policy_(policy), random_(seed), vms_(kVms), upstreams_(kUpstreams) {
-    for (std::size_t i = 0; i < kSlowUpstreams; ++i) {
-      upstreams_[i].mean_seconds *= kSlowFactor;
-    }
+      : policy_(policy), random_(seed), vms_(kVms) {
     // Sizes of workspaces follow Zipf's law; priorities alternate, so that each has some of all
     // sizes.
     for (std::size_t i = 0; i < kWorkspaces; ++i) {
@@ -202,11 +187,7 @@
   // ---- Entry VMs ----
 
   void TakeSnapshot() {
-    std::vector<std::uint32_t> running;
-    for (const sim_upstream& upstream : upstreams_) {
-      running.push_back(upstream.busy + static_cast<std::uint32_t>(upstream.waiting.size()));
-    }
-    snapshots_.push_back(std::move(running));
+    snapshots_.push_back(upstreams_.Running());
     if (snapshots_.size() > kSnapshotsOfDelay) {
       snapshots_.pop_front();
     }
@@ -240,7 +221,7 @@
   }
 
   double RelativeLatency(std::size_t upstream) const {
-    return upstreams_[upstream].mean_seconds / std::chrono::duration<double>(kObjective).count();
+    return upstreams_.MeanResponse(upstream) / std::chrono::duration<double>(kObjective);
   }
 
   static std::optional<queue_rank> HighestRank(const sim_vm& vm) {
@@ -366,8 +347,7 @@
         continue;
       }
       placement_candidate candidate;
-      candidate.relative_latency =
-          upstreams_[i].mean_seconds / std::chrono::duration<double>(kObjective).count();
+      candidate.relative_latency = RelativeLatency(i);
       candidate.slots = kSlots;
       candidate.running = RunningAt(vm, i);
       candidates.push_back(candidate);
@@ -384,7 +364,10 @@
     request->tried.insert(target);
     ++request->sent_attempts;
     ++vm.own[target];
-    events_.After(kNetworkTime, [this, request, target] { OnArrival(request, target); });
+    upstreams_.Send(target, {[request] { return request->is_ended; },
+                             [this, request, target](scarcity_outcome outcome) {
+                               OnAttemptEnd(request, target, outcome);
+                             }});
   }
 
   static void KeepThoseWithRoom(std::vector<placement_candidate>& candidates,
@@ -414,73 +397,33 @@
     Refuse(request, DrawTodaysReturn());
   }
 
-  void OnArrival(const request_ptr& request, std::size_t target) {
-    sim_upstream& upstream = upstreams_[target];
-    if (upstream.busy < kSlots) {
-      Begin(request, target);
-    } else if (upstream.waiting.size() < kUpstreamQueue) {
-      upstream.waiting.push_back(request);
-    } else {
-      sheds_ += request->caller->is_counted ? 1 : 0;
-      events_.After(kNetworkTime, [this, request, target] {
-        EndAttempt(request, target);
-        if (!request->is_ended) {
-          Send(request);
-        }
-      });
-    }
-  }
-
-  void Begin(const request_ptr& request, std::size_t target) {
-    sim_upstream& upstream = upstreams_[target];
-    ++upstream.busy;
-    std::lognormal_distribution<> spread(
-        std::log(upstream.mean_seconds) - kResponseLogSigma * kResponseLogSigma / 2,
-        kResponseLogSigma);
-    const std::chrono::duration<double> time(spread(random_));
-    events_.After(duration_cast<nanoseconds>(time), [this, request, target] {
-      sim_upstream& own = upstreams_[target];
-      --own.busy;
-      while (!own.waiting.empty() && own.busy < kSlots) {
-        const request_ptr next = own.waiting.front();
-        own.waiting.pop_front();
-        if (next->is_ended) {
-          EndAttempt(next, target);  // The VM has closed its connection.
-        } else {
-          Begin(next, target);
-        }
-      }
-      events_.After(kNetworkTime, [this, request, target] { OnAnswer(request, target); });
-    });
-  }
-
-  void OnAnswer(const request_ptr& request, std::size_t target) {
+  void OnAttemptEnd(const request_ptr& request, std::size_t target, scarcity_outcome outcome) {
     const auto taken = events_.Now() - request->arrived;
-    if (!std::exchange(request->is_ended, true)) {
+    if (outcome == scarcity_outcome::kAnswered && !std::exchange(request->is_ended, true)) {
       vms_[request->vm].answers.Add(duration_cast<microseconds>(taken - request->waited));
       CountEnd(*request->caller, true, taken <= kObjective);
     }
-    EndAttempt(request, target);
-  }
-
-  void EndAttempt(const request_ptr& request, std::size_t target) {
     sim_vm& vm = vms_[request->vm];
     --vm.own[target];
     if (policy_ != scarcity_policy::kSendAtOnce) {
       vm.allowance.OnAttemptEnd();
       Dispatch(request->vm);
     }
+    if (outcome == scarcity_outcome::kShed) {
+      sheds_ += request->caller->is_counted ? 1 : 0;
+      if (!request->is_ended) {
+        Send(request);
+      }
+    }
   }
 
   scarcity_measure Measure() const {
     scarcity_measure measure;
     measure.policy = policy_;
-    for (std::size_t i = 0; i < by_route_.size(); ++i) {
-      measure.in_time_by_route[i] = by_route_[i].InTime();
-    }
-    for (std::size_t i = 0; i < by_priority_.size(); ++i) {
-      measure.in_time_by_workspace[i] = by_priority_[i].InTime();
-    }
+    std::transform(by_route_.begin(), by_route_.end(), measure.in_time_by_route.begin(),
+                   std::mem_fn(&tally::InTime));
+    std::transform(by_priority_.begin(), by_priority_.end(), measure.in_time_by_workspace.begin(),
+                   std::mem_fn(&tally::InTime));
     for (const tally& each : by_workspace_) {
       if (each.requests >= kMinRequestsOfWorst) {
         measure.worst_served = std::min(measure.worst_served, each.served / each.requests);
@@ -496,9 +439,9 @@
   const scarcity_policy policy_;
   std::mt19937_64 random_;
   event_queue events_;
+  scarcity_upstreams upstreams_{events_, random_};
   steady_time start_;
   std::vector<sim_vm> vms_;
-  std::vector<sim_upstream> upstreams_;
   std::vector<double> weights_;
   std::deque<std::vector<std::uint32_t>> snapshots_;
   std::uint64_t next_id_ = 1;
@@ -519,25 +462,19 @@
   for (std::size_t i = 0; i < sum.in_time_by_workspace.size(); ++i) {
     sum.in_time_by_workspace[i] += each.in_time_by_workspace[i] * factor;
   }
-  sum.worst_served += each.worst_served * factor;
-  sum.served += each.served * factor;
-  sum.refused_once += each.refused_once * factor;
-  sum.refused_twice += each.refused_twice * factor;
-  sum.sheds_per_request += each.sheds_per_request * factor;
+  for (double scarcity_measure::*field :
+       {&scarcity_measure::served, &scarcity_measure::worst_served, &scarcity_measure::refused_once,
+        &scarcity_measure::refused_twice, &scarcity_measure::sheds_per_request}) {
+    sum.*field += each.*field * factor;
+  }
 }
 
 }  // namespace
 
 std::string PolicyName(scarcity_policy policy) {
-  switch (policy) {
-    case scarcity_policy::kSendAtOnce:
-      return "sent at once";
-    case scarcity_policy::kFirstComeFirstServed:
-      return "first come, first served";
-    case scarcity_policy::kServiceQueue:
-      return "service queue";
-  }
-  return "unknown";
+  static constexpr const char* kNames[] = {"sent at once", "first come, first served",
+                                           "service queue"};
+  return kNames[static_cast<std::size_t>(policy)];
 }
 
 scarcity_measure MeasureScarcity(scarcity_policy policy, std::uint32_t seed) {
