--- a/src/experiment/report.h
+++ b/src/experiment/report.h
@@ -5,6 +5,7 @@
 #include "experiment/hedge_comparison.h"
 #include "experiment/queue_comparison.h"
 #include "experiment/rate_comparison.h"
+#include "experiment/scarcity_comparison.h"
 
 #include <QJsonObject>
 
@@ -49,11 +50,12 @@
   std::vector<rate_measure> rates;
   std::vector<queue_measure> queues;
   std::vector<hedge_measure> hedges;
+  std::vector<scarcity_measure> scarcity;
 };
 
 std::vector<target_check> CheckTargets(const experiment_report& report);
 
-/// Markdown: targets, scenarios, rate limits, queues, hedges.
+/// Markdown: targets, scenarios, rate limits, queues, hedges, scarcity.
 std::string ToMarkdown(const experiment_report& report);
 std::string HedgeTable(const std::vector<hedge_measure>& hedges);
 QJsonObject ToJson(const experiment_report& report);
--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -96,7 +96,7 @@
 
 answer_estimate request_flow::EstimateOf(const policy_route& route, milliseconds limit) const {
   const auto known = context_.answer_times.find(route.name);
-  return known == context_.answer_times.end() ? answer_estimate{route.objective, limit}
+  return known == context_.answer_times.end() ? answer_time().Estimate(route.objective, limit)
                                               : known->second.Estimate(route.objective, limit);
 }
 
--- a/src/serving/request_waiting.cpp
+++ b/src/serving/request_waiting.cpp
@@ -41,7 +41,9 @@
   request.is_returning = is_returning;
   request.deadline = context_.drain.AnswerDeadline(deadline_);
   request.objective_at = arrived_ + route_->objective;
-  request.likely_response = ExpectedAnswer().likely;
+  const answer_estimate expected = ExpectedAnswer();
+  request.likely_response = expected.likely;
+  request.typical_response = expected.typical;
   const std::weak_ptr<request_flow> weak = weak_from_this();
   queue_ticket ticket{request_.id, attempt_id_,
                       [weak] {
