Repeat the pre-vote of a restarted former leader until voters answer

Cause: core VMs do not return at the same moment. The single early pre-vote was lost when a majority of voters started after the former leader.

Change: the former leader repeats it every 100 ms until its term changes, a leader is heard or one election timeout has passed since its start. The log lines replica_recovered and leader_elected state the term led before and whether leadership was resumed; counter raft.leaders_resumed.

--- a/src/consensus/core.cpp
+++ b/src/consensus/core.cpp
@@ -44,6 +44,11 @@
     }
     return;
   }
+  if (IsResuming() && now_ >= next_resumption_) {
+    next_resumption_ = now_ + kResumptionInterval;
+    StartPreVote();
+    return;
+  }
   if (now_ >= election_deadline_) {
     ResetElectionTimer();
     if (log_.Members().IsVoter(state_.replica_id)) {
--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -92,6 +92,10 @@
   void Compact(std::uint64_t index, std::string data);
 
   core_role Role() const { return role_; }
+  /// Term that this replica led before its start; 0 for none.
+  std::uint64_t LedTermBeforeStart() const { return led_term_; }
+  /// Whether this replica is the leader because it has resumed its leadership.
+  bool HasResumed() const { return IsLeader() && led_term_ != 0 && Term() == led_term_ + 1; }
   bool IsLeader() const { return role_ == core_role::kLeader; }
   std::uint64_t Term() const { return state_.term; }
   std::uint64_t ReplicaId() const { return state_.replica_id; }
@@ -171,6 +175,7 @@
   // Elections (core_election.cpp).
   void ResetElectionTimer();
   void PlanResumption();
+  bool IsResuming() const;
   bool HasRecentLeaderContact() const;
   void StartPreVote();
   void StartElection();
@@ -235,6 +240,7 @@
   std::uint64_t durable_index_ = 0;  ///< Last entry that is durable on the local disk.
   steady_time last_leader_contact_;
   steady_time election_deadline_;
+  steady_time next_resumption_{};  ///< Time of the next pre-vote as a former leader.
   steady_time leading_since_{};
   steady_time next_heartbeat_{};
   steady_time next_bootstrap_{};
--- a/src/consensus/core_election.cpp
+++ b/src/consensus/core_election.cpp
@@ -24,14 +24,20 @@
       now_ + min_timeout + nanoseconds(static_cast<std::int64_t>(random_() % spread));
 }
 
-// A former leader campaigns once without waiting for its election timeout.
+// A former leader campaigns without waiting for its election timeout.
 void consensus_core::PlanResumption() {
   using std::chrono::nanoseconds;
   if (led_term_ == 0) {
     return;
   }
   constexpr auto kSpread = static_cast<std::uint64_t>(nanoseconds(kMaxResumptionDelay).count());
-  election_deadline_ = now_ + nanoseconds(static_cast<std::int64_t>(random_() % kSpread));
+  next_resumption_ = now_ + nanoseconds(static_cast<std::int64_t>(random_() % kSpread));
+}
+
+// Ends when the term changes, a leader is heard, or the voters' stickiness has passed anyway.
+bool consensus_core::IsResuming() const {
+  return led_term_ != 0 && state_.term == led_term_ && leader_id_ == 0 &&
+         now_ < started_ + settings_.election_timeout && log_.Members().IsVoter(state_.replica_id);
 }
 
 bool consensus_core::HasRecentLeaderContact() const {
--- a/src/consensus/leader_resumption.h
+++ b/src/consensus/leader_resumption.h
@@ -22,6 +22,10 @@
 /// Upper bound of the random delay between the start of a former leader and its first pre-vote.
 inline constexpr std::chrono::milliseconds kMaxResumptionDelay(50);
 
+/// Interval of the pre-votes of a former leader: longer than a round trip between regions, short
+/// beside the election timeout. Voters may start later than it and lose the first requests.
+inline constexpr std::chrono::milliseconds kResumptionInterval(100);
+
 /// The term that the replica with this recovered state led when it stopped; 0 if it was not the
 /// leader of its current term or if this is unknown.
 std::uint64_t LedTerm(const hard_state& recovered);
--- a/src/consensus/replica_calls.cpp
+++ b/src/consensus/replica_calls.cpp
@@ -1,6 +1,7 @@
 // Public operations, status and leadership notifications of a replica.
 #include "base/log.h"
 #include "consensus/replica_driver.h"
+#include "observe/metrics.h"
 
 #include <utility>
 
@@ -212,7 +213,11 @@
   }
   log_event(log_level::kInfo, is_leader ? "leader_elected" : "leader_resigned")
       .Field("group", settings_.group)
-      .Field("term", core_->Term());
+      .Field("term", core_->Term())
+      .Field("is_resumed", core_->HasResumed());
+  if (core_->HasResumed()) {
+    metrics::Instance().Counter("raft.leaders_resumed").Add();
+  }
   if (!is_leader) {
     // The next leader may or may not have these entries, so their outcome is unknown.
     for (auto& [index, proposal] : std::exchange(pending_proposals_, {})) {
--- a/src/consensus/replica_driver.cpp
+++ b/src/consensus/replica_driver.cpp
@@ -83,6 +83,7 @@
   log_event(log_level::kInfo, "replica_recovered")
       .Field("group", settings_.group)
       .Field("term", core_->Term())
+      .Field("led_term", core_->LedTermBeforeStart())
       .Field("last_index", core_->Log().LastIndex())
       .Field("snapshot_index", core_->Log().SnapshotIndex());
   PublishStatus();
--- a/tests/unit/consensus/replica_test.cpp
+++ b/tests/unit/consensus/replica_test.cpp
@@ -223,11 +223,15 @@
       CPPUNIT_ASSERT(!IsAccepted(alone));
     });
 
-// A folder in the place of the temporary state file refuses each write of the state.
+// A folder in the place of the temporary state file refuses each write of the state. A write in
+// progress, for example of the leader record, ends first.
 void RefuseStateWrites(replica_group& group, std::size_t index, bool is_refused) {
   const auto path = group.At(index).folder / "state.new";
   if (is_refused) {
-    std::filesystem::create_directory(path);
+    WaitUntil("no state is being written", [&] {
+      std::error_code failure;
+      return std::filesystem::create_directory(path, failure);
+    });
   } else {
     std::filesystem::remove(path);
   }
--- a/tests/unit/consensus/schedule_test.cpp
+++ b/tests/unit/consensus/schedule_test.cpp
@@ -106,8 +106,8 @@
   std::chrono::milliseconds start_spread;
 };
 
-// Guards against a rule that does not shorten the election. Times are simulated; figures are
-// printed and not checked, except that a former leader is faster than an election timeout.
+// Guards against a rule that does not shorten the election, also when voters start after the former
+// leader. Times are simulated.
 const test_table kRestartTimes(
     "consensus",
     std::vector<restart_row>{
@@ -121,12 +121,13 @@
           times.push_back(consensus_schedule(seed).MeasureRestart({resumes, row.start_spread}));
         }
         std::sort(times.begin(), times.end());
-        const auto median = times[times.size() / 2];
+        const auto percentile_95 = times[times.size() * 95 / 100];
         std::cout << "\n"
-                  << (resumes ? "with" : "without") << " resumption: median " << median.count()
-                  << " ms, 95th percentile " << times[times.size() * 95 / 100].count()
-                  << " ms, longest " << times.back().count() << " ms" << std::endl;
-        CPPUNIT_ASSERT_EQUAL(resumes, median < core_settings().election_timeout);
+                  << (resumes ? "with" : "without") << " resumption: median "
+                  << times[times.size() / 2].count() << " ms, 95th percentile "
+                  << percentile_95.count() << " ms, longest " << times.back().count() << " ms"
+                  << std::endl;
+        CPPUNIT_ASSERT_EQUAL(resumes, percentile_95 < core_settings().election_timeout);
       }
     }));
 
