--- a/src/consensus/core.h
+++ b/src/consensus/core.h
@@ -34,6 +34,9 @@
   std::size_t max_append_bytes = 1 << 20;  ///< Limit per message; at least one entry is sent.
   std::size_t max_append_entries = 1024;
   std::size_t max_snapshot_part_bytes = 1 << 20;
+  /// Whether a replica that led its term when it stopped campaigns at once; see
+  /// `leader_resumption.h`.
+  bool resumes_leadership = true;
 };
 
 enum class core_role : std::uint8_t { kFollower, kPreCandidate, kCandidate, kLeader };
@@ -89,6 +92,10 @@
   void Compact(std::uint64_t index, std::string data);
 
   core_role Role() const { return role_; }
+  /// Term that this replica led before its start; 0 for none.
+  std::uint64_t LedTermBeforeStart() const { return led_term_; }
+  /// Whether this replica is the leader because it has resumed its leadership.
+  bool HasResumed() const { return IsLeader() && led_term_ != 0 && Term() == led_term_ + 1; }
   bool IsLeader() const { return role_ == core_role::kLeader; }
   std::uint64_t Term() const { return state_.term; }
   std::uint64_t ReplicaId() const { return state_.replica_id; }
@@ -167,10 +174,13 @@
 
   // Elections (core_election.cpp).
   void ResetElectionTimer();
+  void PlanResumption();
+  bool IsResuming() const;
   bool HasRecentLeaderContact() const;
   void StartPreVote();
   void StartElection();
   void BecomeLeader();
+  void RecordLeader(std::uint64_t leader);
   void OnVoteRequest(const raft_message& request);
   void OnVoteAnswer(const raft_message& answer);
   void CheckQuorum();
@@ -218,6 +228,7 @@
   const core_settings settings_;
   std::mt19937_64 random_;
   hard_state state_;
+  const std::uint64_t led_term_;  ///< Term that this replica led before its start; 0 for none.
   core_log log_;
   steady_time now_;
 
@@ -229,6 +240,7 @@
   std::uint64_t durable_index_ = 0;  ///< Last entry that is durable on the local disk.
   steady_time last_leader_contact_;
   steady_time election_deadline_;
+  steady_time next_resumption_{};  ///< Time of the next pre-vote as a former leader.
   steady_time leading_since_{};
   steady_time next_heartbeat_{};
   steady_time next_bootstrap_{};
