Ask callers over their rate to return as before

The Retry-After of a refusal for the rate was the time in which one VM's part of the rate admits a request, up to 5 s.

--- a/src/serving/request_flow.cpp
+++ b/src/serving/request_flow.cpp
@@ -302,7 +302,7 @@
   metrics::Instance().Counter("requests.refused_" + std::string(AnswerFor(kind).name)).Add();
   refusal why{kind, detail, {}};
   if (AnswerFor(kind).retry_after) {
-    why.retry_after = ReturnTime(context_, kind, service_, {workspace_, Rank()});
+    why.retry_after = ReturnTime(context_, kind, service_, Rank());
   }
   SendRefusal(*sink_, why, request_.id);
   Complete();
--- a/src/serving/return_time.cpp
+++ b/src/serving/return_time.cpp
@@ -46,24 +46,20 @@
   return std::chrono::ceil<milliseconds>(bounded * (1 + kReturnJitterRatio * draw));
 }
 
-// The time that the queue or the rate suggests; nothing if they say nothing about this refusal.
+// The time that the queue suggests; nothing if it says nothing about this refusal.
 std::optional<milliseconds> ScarcityReturnTime(serving_context& context,
                                                error_kind kind,
                                                const std::string& service,
-                                               const refused_caller& caller) {
+                                               const queue_rank& rank) {
   if (!context.queues.IsEnabled()) {
     return std::nullopt;
   }
   const double draw = std::uniform_real_distribution<>(0, 1)(context.random);
   if (kind == error_kind::kQueueFull || kind == error_kind::kQueueTimeout) {
-    const auto backlog = context.queues.BacklogOf(service, caller.rank, context.clock.Now());
+    const auto backlog = context.queues.BacklogOf(service, rank, context.clock.Now());
     return backlog ? std::optional(BacklogReturnTime(backlog->ahead, backlog->interval, draw))
                    : std::nullopt;
   }
-  if (kind == error_kind::kOverRate && caller.workspace != nullptr) {
-    return RateReturnTime(caller.workspace->rate_per_second, context.view.Limits().active_vms,
-                          context.settings.admission.rates.window, draw);
-  }
   return std::nullopt;
 }
 
@@ -73,24 +69,15 @@
   return WithJitter(interval * ahead, kMaxBacklogReturnTime, draw);
 }
 
-milliseconds RateReturnTime(std::uint64_t rate_per_second,
-                            std::uint32_t active_vms,
-                            milliseconds window,
-                            double draw) {
-  const auto interval = std::chrono::microseconds(std::chrono::seconds(active_vms)) /
-                        std::max<std::uint64_t>(rate_per_second, 1);
-  return WithJitter(interval, std::max(window, kMinBacklogReturnTime), draw);
-}
-
 milliseconds ReturnTime(serving_context& context,
                         error_kind kind,
                         const std::string& service,
-                        const refused_caller& caller) {
+                        const queue_rank& rank) {
   const auto base = AnswerFor(kind).retry_after;
   if (!base) {
     return {};
   }
-  if (const auto time = ScarcityReturnTime(context, kind, service, caller)) {
+  if (const auto time = ScarcityReturnTime(context, kind, service, rank)) {
     return *time;
   }
   if (kind == error_kind::kShuttingDown && context.view.Limits().active_vms > 1) {
