Test the wait for the rates; keep the wiring test independent of the machine's speed

Cause: the wiring test used a route of 1.5 s, which a busy machine may use up before the state is set, and no test covered requests that wait for the rates.

--- a/tests/support/serving_fixture.cpp
+++ b/tests/support/serving_fixture.cpp
@@ -103,6 +103,7 @@
   const std::lock_guard guard(lock_);
   watch_reply reply;
   reply.core_incarnation = 1;
+  reply.is_counting = is_counting_;
   reply.held = std::chrono::duration_cast<milliseconds>(SystemClock().Now() - arrived);
   reply.changes.index = state_.index;
   reply.changes.is_whole_roster = request.roster_index == 0;
--- a/tests/support/serving_fixture.h
+++ b/tests/support/serving_fixture.h
@@ -41,6 +41,8 @@
   /// Removes the policy, as in a core VM that has no leader yet: calls that await a state are held
   /// until `SetPolicy` or the end of their hold.
   void RemovePolicy();
+  /// Whether the limits are reliable; true at first.
+  void SetCounting(bool is_counting) { is_counting_ = is_counting; }
   /// Stops or resumes answering watch requests.
   void SetSilent(bool is_silent) { is_silent_ = is_silent; }
   observations ReportedObservations() const;
@@ -62,6 +64,7 @@
   std::vector<std::string> cores_;
   std::string data_centre_;
   std::atomic<bool> is_silent_ = false;
+  std::atomic<bool> is_counting_ = true;
   std::atomic<std::size_t> watch_calls_ = 0;
   std::atomic<std::size_t> awaiting_calls_ = 0;
   endpoint address_;
