Let core VMs of one region hear of each other in any order

Cause: the leader passes no shares on within a region, and a core VM shares directly only with those of which it knows the region. If the leader had received the first shares of two core VMs of a region before it passed on either of them, neither heard of the other until a restart: their counts and outcomes were not exchanged. Found by the new test of the digest, which needs observations of one core VM at all others. Change: the leader states the regions of the core VMs every 2 s with its shares (core_share.regions).

--- a/src/fleet/fleet_core.h
+++ b/src/fleet/fleet_core.h
@@ -135,6 +135,7 @@
   void QueueArrivals(const std::vector<vm_arrival>& arrivals);
   core_share& OwnShare(std::map<std::string, core_share>& pending);
   void AddChangedLoads(core_share& share, load_change_tracker& tracker);
+  void AddRegions(core_share& share, steady_time& next);
   void ShareInRegion();
   void ShareAcrossRegions();
   void ExpediteCrossRegionShare();
@@ -204,6 +205,9 @@
   std::size_t next_counts_member_ = 0;
   bool is_near_limit_ = false;  ///< A workspace is near its limit, here or at another core VM.
   steady_time next_cross_region_share_{};
+  // When the leader next states the regions of the core VMs to those of its own and other regions.
+  steady_time next_regions_in_region_{};
+  steady_time next_regions_across_regions_{};
   steady_time next_answer_{};
   steady_time next_limits_{};
   bool is_changing_members_ = false;
--- a/src/fleet/fleet_core_share.cpp
+++ b/src/fleet/fleet_core_share.cpp
@@ -16,6 +16,7 @@
 constexpr milliseconds kCrossRegionInterval(1000);
 // While a workspace is near its limit; its counts must not be half a second old.
 constexpr milliseconds kCrossRegionIntervalNearLimit(50);
+constexpr milliseconds kRegionsInterval(2000);
 constexpr milliseconds kShareTimeout(500);
 // Older counts have left the rate window.
 constexpr milliseconds kMaxResentCountAge(5000);
@@ -47,6 +48,7 @@
   to.incarnation = from.incarnation;
   to.unreported = from.unreported;
   to.is_near_limit = from.is_near_limit;
+  to.regions.insert(from.regions.begin(), from.regions.end());
   Append(to.arrivals, from.arrivals);
   Merge(to.seen, from.seen);
   Append(to.announced, from.announced);
@@ -133,6 +135,14 @@
   }
 }
 
+void fleet_core::AddRegions(core_share& share, steady_time& next) {
+  const steady_time now = clock_.Now();
+  if (replica_->LeadingTerm() != 0 && now >= next) {
+    next = now + kRegionsInterval;
+    share.regions = usage_.Regions();
+  }
+}
+
 void fleet_core::SendShares(const std::string& member,
                             share_request request,
                             on_send_failure policy) {
@@ -242,8 +252,9 @@
   own.core = settings_.name;
   own.region = settings_.region;
   AddChangedLoads(own, loads_sent_in_region_);
+  AddRegions(own, next_regions_in_region_);
   const bool is_empty = own.seen.IsEmpty() && own.announced.empty() && own.loads.empty() &&
-                        own.arrivals.empty() && own.unreported.empty();
+                        own.arrivals.empty() && own.unreported.empty() && own.regions.empty();
   // Near a limit the others must hear that this core VM is in contact.
   if (is_empty && !is_near_limit_) {
     return;
@@ -268,6 +279,7 @@
     return;  // The shares stay pending until a leader is known.
   }
   AddChangedLoads(OwnShare(pending_across_regions_), loads_sent_across_regions_);
+  AddRegions(OwnShare(pending_across_regions_), next_regions_across_regions_);
   const auto pending = std::exchange(pending_across_regions_, {});
   if (!is_leader) {
     const auto own = pending.find(settings_.name);
--- a/src/fleet/fleet_usage.cpp
+++ b/src/fleet/fleet_usage.cpp
@@ -204,6 +204,9 @@
   const steady_time now = clock_.Now();
   peers_[share.core] = {share.region,     share.active_vms,    now, share.incarnation,
                         share.unreported, share.is_near_limit, {}};
+  if (!share.regions.empty()) {
+    stated_regions_ = share.regions;
+  }
   for (const vm_arrival& arrival : share.arrivals) {
     unreported_by_vms_.Forget(arrival.vm);
     active_vms_.erase(arrival.vm);
@@ -262,7 +265,19 @@
 }
 
 bool fleet_usage::IsInOwnRegion(const std::string& core) const {
-  return RegionOf(core) == settings_.region;
+  if (const auto region = RegionOf(core)) {
+    return region == settings_.region;
+  }
+  const auto stated = stated_regions_.find(core);
+  return stated != stated_regions_.end() && stated->second == settings_.region;
+}
+
+std::map<std::string, std::string> fleet_usage::Regions() const {
+  std::map<std::string, std::string> regions;
+  for (const auto& [name, other] : peers_) {
+    regions.emplace(name, other.region);
+  }
+  return regions;
 }
 
 // ---- Completeness of the counts ----
--- a/src/fleet/fleet_usage.h
+++ b/src/fleet/fleet_usage.h
@@ -58,8 +58,10 @@
   void OnShare(core_share& share);
   /// Adds what this core VM states of itself with each share.
   void AddState(core_share& share) const;
-  /// Whether a core VM of this region shares with this one.
+  /// Whether the core VM is in this region, as it has stated or the leader has.
   bool IsInOwnRegion(const std::string& core) const;
+  /// The regions of the core VMs that have sent a share.
+  std::map<std::string, std::string> Regions() const;
   /// The region of a core VM, if it has sent a share.
   std::optional<std::string> RegionOf(const std::string& core) const;
 
@@ -139,7 +141,8 @@
   steady_time near_limit_until_{};  ///< Here, as stated to the other core VMs.
   std::optional<steady_time> near_limit_since_;  ///< Anywhere; see `UpdateNearLimit`.
   std::map<std::string, peer> peers_;
-  steady_time peers_refreshed_at_{};  ///< Of the last `Refresh`.
+  std::map<std::string, std::string> stated_regions_;  ///< By core VM, as the leader has stated.
+  steady_time peers_refreshed_at_{};                   ///< Of the last `Refresh`.
 };
 
 }  // namespace corianderhoist
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -18,6 +18,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -407,6 +408,9 @@
   /// the former list.
   std::vector<named_counts> unreported;
   bool is_near_limit = false;  ///< A workspace is near its limit there: counts are sent sooner.
+  /// By core VM: its region. Sent by the leader at intervals: it passes no shares on within a
+  /// region, so core VMs of one region might not hear of each other.
+  std::map<std::string, std::string> regions;
 
   template <class Self, class Visitor>
   static void ForEachField(Self& self, Visitor&& visit) {
@@ -420,6 +424,7 @@
     visit(8, self.arrivals);
     visit(9, self.unreported);
     visit(10, self.is_near_limit);
+    visit(11, self.regions);
   }
 };
 
--- a/tests/support/core_group.cpp
+++ b/tests/support/core_group.cpp
@@ -139,6 +139,15 @@
   return answered != nullptr ? *answered : watch_reply();
 }
 
+bool core_group::ReportAt(int number, const report_request& report) {
+  io_loop loop("report");
+  rpc_channel channel(loop, nullptr, {"127.0.0.1", PortOf(number)}, NameOf(number));
+  const auto reply = CallAndWait<done_reply>([&](fleet_core::callback<done_reply> done) {
+    channel.Call<done_reply>("fleet.report", report, kCallTimeout, std::move(done));
+  });
+  return std::holds_alternative<done_reply>(reply);
+}
+
 std::vector<std::string> core_group::CoresNamedBy(int number,
                                                   const std::vector<std::string>& known) {
   watch_request request;
--- a/tests/unit/fleet/fleet_core_test.cpp
+++ b/tests/unit/fleet/fleet_core_test.cpp
@@ -153,6 +153,34 @@
                          [&] { return group.CoresNamedBy(1, known).size() == 4; });
 });
 
+// Guards against a digest that only the core VM with the reports has, or only its region.
+const test_table kDigests("core group", "response times reach the core VMs of all regions", [] {
+  core_group group;
+  StartFive(group);
+  group.PutPolicy(3);
+  // Core VMs learn the region of another one from its shares, so each has something to share.
+  const auto report = [&group](int number) {
+    report_request request;
+    request.vm = "entry-" + std::to_string(number);
+    request.seen.services = {{"s", 1, 0, 0}};
+    if (number == 1) {
+      request.seen.latencies = {{"s", {{27, 200}}}};
+    }
+    return group.ReportAt(number, request);
+  };
+  const auto has_digest = [&group](int number) {
+    const watch_reply reply = group.WatchAt(number, watch_request{.vm = "entry"});
+    return !reply.limits.empty() && reply.limits.front().latency_digests.size() == 1;
+  };
+  group.WaitUntilOrThrow("digests at all core VMs", [&] {
+    bool has_all = true;
+    for (int number = 1; number <= 5; ++number) {
+      has_all = report(number) && has_digest(number) && has_all;
+    }
+    return has_all;
+  });
+});
+
 const test_table kNoQuorum("core group", "without a quorum nothing is acknowledged or read", [] {
   core_group group;
   StartFive(group);
