--- a/tests/unit/experiment/experiment_test.cpp
+++ b/tests/unit/experiment/experiment_test.cpp
@@ -117,7 +117,7 @@
   CPPUNIT_ASSERT_MESSAGE(report, report.find("'grey' is not one of") != std::string::npos);
 });
 
-// Guards against a limit that extra sends exceed, and against hedges that don't shorten the tail.
+// Guards against a limit that extra sends exceed, and against hedges that do not shorten the tail.
 const test_table kHedges("experiment", "hedges stay within their limit and shorten the tail", [] {
   const std::vector<hedge_measure> measures = CompareHedges(1);
   const hedge_measure& none = measures.front();
--- a/tests/unit/serving/hedge_policy_test.cpp
+++ b/tests/unit/serving/hedge_policy_test.cpp
@@ -253,41 +253,43 @@
 
 // Guards against an upstream that runs a request on after another one has answered it, and against
 // a cancelled attempt that is reported as a success or a failure.
-const test_table kWiring("hedging", "a slow attempt is hedged and cancelled without a verdict", [] {
-  serving_fixture fixture;
-  fixture.SetHedging({0.2, {}, {}});
-  std::atomic<bool> has_hung = false;
-  const auto script = [&has_hung](const scripted_request& request) {
-    return request.Header("X-Attempt-Id") == "last" && !has_hung.exchange(true)
-               ? scripted_answer{"", after_answer::kHang}
-               : scripted_answer{SignedAnswer(request, 200, "ok")};
-  };
-  const scripted_upstream& first = fixture.Add("u1", "reads", script);
-  const scripted_upstream& second = fixture.Add("u2", "reads", script);
-  shared_limits limits;
-  // 256 ms: a busy machine rarely takes that long, and the tokens allow for one request that does.
-  limits.latency_digests.push_back({"reads", std::vector<std::uint32_t>(8, 32)});
-  fixture.Core().SetLimits(limits);
-  fixture.Start();
-  constexpr std::uint64_t kRequests = 12;
-  for (std::uint64_t i = 0; i < kRequests; ++i) {
-    CPPUNIT_ASSERT_EQUAL(200, fixture.Call({.id = "id" + std::to_string(i)}).status);
-  }
-  const auto seen = [&] { return fixture.Core().ReportedObservations(); };
-  CPPUNIT_ASSERT(WaitFor([&] { return CountedTimes(seen()) == kRequests; }));
-  CPPUNIT_ASSERT(WaitFor([&] { return seen().outcomes.size() >= kRequests; }));
-  const observations before = seen();
-  CPPUNIT_ASSERT_EQUAL(200, fixture.Call({.id = "last"}).status);
-  CPPUNIT_ASSERT(
-      WaitFor([&] { return first.AbandonedConnections() + second.AbandonedConnections() == 1; }));
-  CPPUNIT_ASSERT(WaitFor([&] { return CountedTimes(seen()) == kRequests + 1; }));
-  CPPUNIT_ASSERT(WaitFor([&] { return seen().outcomes.size() > before.outcomes.size(); }));
-  const observations after = seen();
-  CPPUNIT_ASSERT_EQUAL(before.lost_races.size() + 1, after.lost_races.size());
-  for (std::size_t i = before.outcomes.size(); i < after.outcomes.size(); ++i) {
-    CPPUNIT_ASSERT(after.outcomes[i].upstream != after.lost_races.back().upstream);
-  }
-});
+const test_table
+    kWiring("hedging", "a slow attempt is hedged, cancelled and counts as no outcome", [] {
+      serving_fixture fixture;
+      fixture.SetHedging({0.2, {}, {}});
+      std::atomic<bool> has_hung = false;
+      const auto script = [&has_hung](const scripted_request& request) {
+        return request.Header("X-Attempt-Id") == "last" && !has_hung.exchange(true)
+                   ? scripted_answer{"", after_answer::kHang}
+                   : scripted_answer{SignedAnswer(request, 200, "ok")};
+      };
+      const scripted_upstream& first = fixture.Add("u1", "reads", script);
+      const scripted_upstream& second = fixture.Add("u2", "reads", script);
+      shared_limits limits;
+      // 256 ms: a busy machine rarely takes that long, and the tokens allow for one request that
+      // does.
+      limits.latency_digests.push_back({"reads", std::vector<std::uint32_t>(8, 32)});
+      fixture.Core().SetLimits(limits);
+      fixture.Start();
+      constexpr std::uint64_t kRequests = 12;
+      for (std::uint64_t i = 0; i < kRequests; ++i) {
+        CPPUNIT_ASSERT_EQUAL(200, fixture.Call({.id = "id" + std::to_string(i)}).status);
+      }
+      const auto seen = [&] { return fixture.Core().ReportedObservations(); };
+      CPPUNIT_ASSERT(WaitFor([&] { return CountedTimes(seen()) == kRequests; }));
+      CPPUNIT_ASSERT(WaitFor([&] { return seen().outcomes.size() >= kRequests; }));
+      const observations before = seen();
+      CPPUNIT_ASSERT_EQUAL(200, fixture.Call({.id = "last"}).status);
+      CPPUNIT_ASSERT(WaitFor(
+          [&] { return first.AbandonedConnections() + second.AbandonedConnections() == 1; }));
+      CPPUNIT_ASSERT(WaitFor([&] { return CountedTimes(seen()) == kRequests + 1; }));
+      CPPUNIT_ASSERT(WaitFor([&] { return seen().outcomes.size() > before.outcomes.size(); }));
+      const observations after = seen();
+      CPPUNIT_ASSERT_EQUAL(before.lost_races.size() + 1, after.lost_races.size());
+      for (std::size_t i = before.outcomes.size(); i < after.outcomes.size(); ++i) {
+        CPPUNIT_ASSERT(after.outcomes[i].upstream != after.lost_races.back().upstream);
+      }
+    });
 
 }  // namespace
 }  // namespace corianderhoist
