--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -18,6 +18,7 @@
 #include <algorithm>
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -436,6 +437,9 @@
   bool is_near_limit = false;  ///< A workspace is near its limit there: counts are sent sooner.
   /// Its VMs with waiting requests, by service and rank. Replaces the former list.
   std::vector<service_waiting> waiting;
+  /// By core VM: its region. Sent by the leader at intervals: it passes no shares on within a
+  /// region, so core VMs of one region might not hear of each other.
+  std::map<std::string, std::string> regions;
 
   template <class Self, class Visitor>
   static void ForEachField(Self& self, Visitor&& visit) {
@@ -450,6 +454,7 @@
     visit(9, self.unreported);
     visit(10, self.is_near_limit);
     visit(11, self.waiting);
+    visit(11, self.regions);
   }
 };
 
