Leave failing upstreams with room to the placement

Cause: with a queue, an attempt was kept from an upstream that had just failed a request, although the placement preferred it for the bytes of a large order: found by a trial of the tests of serving_test with a queue. Without scarcity a queue must not change the choice.

Change: only full upstreams are passed over.

--- a/src/serving/upstream_selection.cpp
+++ b/src/serving/upstream_selection.cpp
@@ -24,14 +24,17 @@
   return costs;
 }
 
-// Requests do not wait at an upstream without room while another has some.
+// Requests do not wait at a full upstream while another has room. Whether a failing one is worth
+// the risk is left to the placement.
 void KeepThoseWithRoom(const serving_context& context,
                        std::vector<placement_candidate>& candidates,
                        std::vector<const known_upstream*>& upstreams) {
   std::vector<placement_candidate> kept;
   std::vector<const known_upstream*> kept_upstreams;
   for (std::size_t i = 0; i < candidates.size(); ++i) {
-    if (FreeCapacity(context.queues.RoomCandidateOf(*upstreams[i], candidates[i])) > 0) {
+    room_candidate room = context.queues.RoomCandidateOf(*upstreams[i], candidates[i]);
+    room.is_failing = false;
+    if (FreeCapacity(room) > 0) {
       kept.push_back(candidates[i]);
       kept_upstreams.push_back(upstreams[i]);
     }
--- a/tests/unit/serving/request_flow_test.cpp
+++ b/tests/unit/serving/request_flow_test.cpp
@@ -166,19 +166,24 @@
   std::string name;
   std::size_t body_bytes;
   bool is_sent_nearby;
+  std::size_t max_waiting = 0;
 };
 
-// The upstream nearby has just failed a request, so a small order goes to the other data centre.
+// The upstream nearby has just failed a request, so a small order goes to the other data centre. A
+// queue must not change that while there is room.
 const test_table kDistances("request flow",
                             std::vector<distance_case>{
                                 {"a small order avoids a failing upstream nearby", 10, false},
                                 {"the bytes of a large order keep it nearby", 60'000, true},
+                                {"the same with a queue, small", 10, false, 64},
+                                {"the same with a queue, large", 60'000, true, 64},
                             },
                             std::function([](const distance_case& row) {
                               serving_fixture fixture;
                               scripted_upstream& nearby =
                                   fixture.Add("u1", "orders", Status(500), "dc1");
                               fixture.Add("u2", "orders", Good(), "dc2");
+                              fixture.SetQueue(row.max_waiting);
                               fixture.Start();
                               caller_request order{.method = "POST", .path = "/once/1"};
                               CPPUNIT_ASSERT_EQUAL(500, fixture.Call(order).status);
