Test that counts of waiting VMs reach other core VMs and expire

A report to one of three core VMs appears in the limits of another and is gone some seconds after the VM has stopped reporting.

--- a/tests/support/core_group.cpp
+++ b/tests/support/core_group.cpp
@@ -139,6 +139,14 @@
   return answered != nullptr ? *answered : watch_reply();
 }
 
+void core_group::ReportAt(int number, const report_request& request) {
+  io_loop loop("report");
+  rpc_channel channel(loop, nullptr, {"127.0.0.1", PortOf(number)}, NameOf(number));
+  CallAndWait<done_reply>([&](fleet_core::callback<done_reply> done) {
+    channel.Call<done_reply>("fleet.report", request, kCallTimeout, std::move(done));
+  });
+}
+
 std::vector<std::string> core_group::CoresNamedBy(int number,
                                                   const std::vector<std::string>& known) {
   watch_request request;
--- a/tests/support/core_group.h
+++ b/tests/support/core_group.h
@@ -34,6 +34,8 @@
   std::uint64_t ReadPolicyVersionAt(int number);
   /// Returns the answer of this member to an entry VM, or an empty one if the call fails.
   watch_reply WatchAt(int number, const watch_request& request);
+  /// Sends the report of an entry VM to this member.
+  void ReportAt(int number, const report_request& request);
   /// Returns the core VMs that this member names to an entry VM that knows it and `known`.
   std::vector<std::string> CoresNamedBy(int number, const std::vector<std::string>& known);
   bool AnnounceAt(int number, const upstream_notice& notice);
--- a/tests/unit/fleet/waiting_table_test.cpp
+++ b/tests/unit/fleet/waiting_table_test.cpp
@@ -1,6 +1,7 @@
 // Counts of entry VMs with waiting requests on a core VM.
 #include "fleet/waiting_table.h"
 
+#include "support/core_group.h"
 #include "support/test_table.h"
 
 namespace corianderhoist {
@@ -39,5 +40,29 @@
   CPPUNIT_ASSERT_EQUAL(16U, table.CoarseSums(kStart + milliseconds(250)).at(0).vms);
 });
 
+// Guards against counts that do not reach the entry VMs of another core VM, or stay there after the
+// VM has stopped reporting.
+const test_table kPublished("waiting table", "counts reach other core VMs and expire there", [] {
+  core_group group;
+  for (int number = 1; number <= 3; ++number) {
+    group.Start(number, true);
+  }
+  group.WaitUntilOrThrow("a leader", [&] { return group.Leader() != 0; });
+  watch_request watch;
+  watch.vm = "entry-2";
+  const auto waiting_at_2 = [&] {
+    const watch_reply reply = group.WatchAt(2, watch);
+    return reply.limits.empty() ? std::vector<service_waiting>() : reply.limits.front().waiting;
+  };
+  report_request report;
+  report.vm = "entry-1";
+  report.waiting = {{"orders", 1, 2, 3}};
+  group.WaitUntilOrThrow("the count at core VM 2", [&] {
+    group.ReportAt(1, report);
+    return waiting_at_2() == report.waiting;
+  });
+  group.WaitUntilOrThrow("its expiry", [&] { return waiting_at_2().empty(); });
+});
+
 }  // namespace
 }  // namespace corianderhoist
