--- a/src/fleet/fleet_core_share.cpp
+++ b/src/fleet/fleet_core_share.cpp
@@ -258,8 +258,8 @@
   AddChangedLoads(own, loads_sent_in_region_);
   AddRegions(own, next_regions_in_region_);
   const bool is_empty = own.seen.IsEmpty() && own.announced.empty() && own.loads.empty() &&
-                        own.arrivals.empty() && own.unreported.empty() && own.waiting.empty();
-  own.arrivals.empty() && own.unreported.empty() && own.regions.empty();
+                        own.arrivals.empty() && own.unreported.empty() && own.waiting.empty() &&
+                        own.regions.empty();
   // Near a limit the others must hear that this core VM is in contact.
   if (is_empty && !is_near_limit_) {
     return;
--- a/src/fleet/messages.h
+++ b/src/fleet/messages.h
@@ -454,7 +454,7 @@
     visit(9, self.unreported);
     visit(10, self.is_near_limit);
     visit(11, self.waiting);
-    visit(11, self.regions);
+    visit(12, self.regions);
   }
 };
 
