Keep the incarnation of the own core VM when another one answers a probe

Cause: fleet_link applied the answer of a probe for a fresher state like that of its core VM, so the next watch call named the probed core VM as the former one (fleet_usage::OnWatch), its limits were taken as this VM's, and the level was set although a probe is no contact for the core VM.

Change: WithoutContact leaves the fleet state of such an answer only.

--- a/src/serving/fleet_link.cpp
+++ b/src/serving/fleet_link.cpp
@@ -1,6 +1,7 @@
 #include "serving/fleet_link.h"
 
 #include "base/log.h"
+#include "serving/probe_reply.h"
 
 #include <algorithm>
 #include <utility>
@@ -241,7 +242,7 @@
           if (*alive && news != nullptr) {
             RecordRoundTrip(*other, *news, sent_at);
             if (news->age + kMinStateAgeGain < age && current_ == &stale) {
-              view_.Apply(*news, sent_at, clock_.Now());
+              view_.Apply(WithoutContact(*news, view_.Known()), sent_at, clock_.Now());
               BackOff(stale, "its state is " + std::to_string(age.count()) + " ms old");
             }
           }
