Probe a core VM that has failed before it is used again

Cause: an entry VM turned to a frozen core VM again after each backoff, because it is in its data centre. It then had no answer for 850 ms and went by its local quota for 150 ms, which has no permit for a workspace that the VM had not seen in the window.

Change: core VMs that have failed come after all others until they answer a probe with recent state (ProbeCores), which is sent after the backoff.

--- a/src/serving/fleet_link.cpp
+++ b/src/serving/fleet_link.cpp
@@ -76,9 +76,10 @@
   return *peer.channel;
 }
 
-// Returns the core VM in the VM's own data centre or else with the shortest round trip that is not
-// backed off. Unmeasured ones come first, so that each gets measured. If all are backed off,
-// returns the one whose backoff ends first.
+// Returns the core VM in the VM's own data centre or else with the shortest round trip that has not
+// failed. Unmeasured ones come first, so that each gets measured. One that has failed comes after
+// them until a probe was answered: a VM without an answer has no limits and goes by its local
+// quota. If all are backed off, returns the one whose backoff ends first.
 fleet_link::core_vm* fleet_link::ChooseCore() {
   const steady_time now = clock_.Now();
   core_vm* best = nullptr;
@@ -91,6 +92,9 @@
     if (is_a_backed_off) {
       return a.backoff_until < b.backoff_until;
     }
+    if ((a.failures > 0) != (b.failures > 0)) {
+      return b.failures > 0;
+    }
     const bool are_measured = a.round_trip.count() > 0 && b.round_trip.count() > 0;
     if (are_measured && a.is_same_data_centre != b.is_same_data_centre) {
       return a.is_same_data_centre;
@@ -103,7 +107,8 @@
     }
   }
   const bool is_current_usable = best != nullptr && current_ != nullptr && current_ != best &&
-                                 current_->backoff_until <= now && current_->round_trip.count() > 0;
+                                 current_->backoff_until <= now && current_->failures == 0 &&
+                                 current_->round_trip.count() > 0;
   if (is_current_usable && current_->is_same_data_centre == best->is_same_data_centre &&
       best->round_trip * kMinRoundTripGain > current_->round_trip) {
     return current_;
@@ -203,18 +208,22 @@
   if (news.age > kMaxCoreStateAge) {
     ProbeForFresherState(peer, news.age);
   } else {
-    if (std::exchange(peer.failures, 0) > 0) {
-      log_event(log_level::kInfo, "core_regained").Field("core", FormatEndpoint(peer.address));
-    }
-    peer.backoff_until = {};
+    NoteAnswered(peer);
   }
   if (on_update) {
     on_update();
   }
-  ProbeUnmeasuredCores();
+  ProbeCores();
   Watch();
 }
 
+void fleet_link::NoteAnswered(core_vm& peer) {
+  if (std::exchange(peer.failures, 0) > 0) {
+    log_event(log_level::kInfo, "core_regained").Field("core", FormatEndpoint(peer.address));
+  }
+  peer.backoff_until = {};
+}
+
 // During a leader election the state of every core VM ages, and switching to another one does not
 // help. The other core VMs are therefore probed, and the current one is left only for a core VM
 // whose state is younger by `kMinStateAgeGain`.
@@ -272,42 +281,55 @@
   }
 }
 
-// Probes every core VM whose round trip is unknown, at most once per `kProbeInterval`, so that
-// `ChooseCore` can find a nearer one.
-void fleet_link::ProbeUnmeasuredCores() {
-  const steady_time now = clock_.Now();
-  const bool has_unmeasured = std::any_of(cores_.begin(), cores_.end(), [&](const auto& item) {
-    return item.second->round_trip.count() == 0 && item.second->backoff_until <= now;
-  });
-  if (now < next_probe_ || !has_unmeasured) {
-    return;
-  }
-  next_probe_ = now + kProbeInterval;
+bool fleet_link::IsProbeDue(const core_vm& peer) const {
+  const bool is_unmeasured = peer.round_trip.count() == 0 && clock_.Now() >= next_probe_;
+  return &peer != current_ && peer.backoff_until <= clock_.Now() &&
+         (is_unmeasured || peer.failures > 0);
+}
+
+// Probes every core VM that has failed, after its backoff, and every one whose round trip is
+// unknown, at most once per `kProbeInterval`, so that `ChooseCore` can find a nearer one.
+void fleet_link::ProbeCores() {
+  std::vector<core_vm*> due;
   for (const auto& [address, each] : cores_) {
-    core_vm* other = each.get();
-    if (other == current_ || other->round_trip.count() != 0 || other->backoff_until > now) {
-      continue;
+    if (IsProbeDue(*each)) {
+      due.push_back(each.get());
+    }
+  }
+  const steady_time now = clock_.Now();
+  for (core_vm* other : due) {
+    if (other->round_trip.count() == 0) {
+      next_probe_ = now + kProbeInterval;
     }
+    other->backoff_until = now + kProbeTimeout;  // One probe at a time.
     watch_request request = MakeProbeRequest();
     request.vm = settings_.vm;
     request.cores_digest = cores_digest_;
     request.data_centre = settings_.data_centre;
-    const steady_time sent_at = clock_.Now();
     ChannelOf(*other).Call<watch_reply>(
         "fleet.watch", request, kProbeTimeout,
-        [this, alive = is_alive_, other, sent_at](const rpc_result<watch_reply>& reply) {
-          if (!*alive) {
-            return;
-          }
-          if (const auto* news = std::get_if<watch_reply>(&reply)) {
-            RecordRoundTrip(*other, *news, sent_at);
-          } else {
-            BackOff(*other, std::get<rpc_failure>(reply).detail);
+        [this, alive = is_alive_, other, sent_at = now](const rpc_result<watch_reply>& reply) {
+          if (*alive) {
+            OnProbed(*other, reply, sent_at);
           }
         });
   }
 }
 
+void fleet_link::OnProbed(core_vm& peer,
+                          const rpc_result<watch_reply>& reply,
+                          steady_time sent_at) {
+  const auto* news = std::get_if<watch_reply>(&reply);
+  if (news == nullptr) {
+    return BackOff(peer, std::get<rpc_failure>(reply).detail);
+  }
+  RecordRoundTrip(peer, *news, sent_at);
+  if (news->age > kMaxCoreStateAge && peer.failures > 0) {
+    return BackOff(peer, "its state is " + std::to_string(news->age.count()) + " ms old");
+  }
+  NoteAnswered(peer);
+}
+
 // ---- Reports ----
 
 void fleet_link::NoteOutcome(const attempt_outcome& outcome) {
--- a/src/serving/fleet_link.h
+++ b/src/serving/fleet_link.h
@@ -88,10 +88,13 @@
   core_vm* ChooseCore();
   void Watch();
   void OnReply(core_vm& peer, const rpc_result<watch_reply>& reply, steady_time sent_at);
+  void NoteAnswered(core_vm& peer);
   void BackOff(core_vm& peer, const std::string& cause);
   watch_request MakeProbeRequest() const;
   void AddCores(const watch_reply& news);
-  void ProbeUnmeasuredCores();
+  void ProbeCores();
+  bool IsProbeDue(const core_vm& peer) const;
+  void OnProbed(core_vm& peer, const rpc_result<watch_reply>& reply, steady_time sent_at);
   void ProbeForFresherState(core_vm& stale, std::chrono::milliseconds age);
   void RecordRoundTrip(core_vm& peer, const watch_reply& reply, steady_time sent_at);
   void ScheduleReport(bool is_urgent);
--- a/tests/support/serving_fixture.h
+++ b/tests/support/serving_fixture.h
@@ -36,6 +36,8 @@
   void SetCores(std::vector<std::string> addresses);
   void SetDataCentre(const std::string& data_centre);
   std::size_t WatchCalls() const { return watch_calls_; }
+  /// The watch calls that were not probes.
+  std::size_t StateCalls() const { return state_calls_; }
   /// Stops or resumes answering watch requests.
   void SetSilent(bool is_silent) { is_silent_ = is_silent; }
   observations ReportedObservations() const;
@@ -54,6 +56,7 @@
   std::string data_centre_;
   std::atomic<bool> is_silent_ = false;
   std::atomic<std::size_t> watch_calls_ = 0;
+  std::atomic<std::size_t> state_calls_ = 0;
   endpoint address_;
   rpc_server server_{nullptr, 1};
   io_loop loop_{"fake core"};  ///< Destroyed before the server, which its tasks reference.
