--- a/src/serving/fleet_link.cpp
+++ b/src/serving/fleet_link.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "fleet/latency_digest.h"
+#include "serving/probe_reply.h"
 
 #include <algorithm>
 #include <utility>
@@ -29,11 +30,6 @@
 // Of the connection: a core VM that starts accepts calls before it has the state.
 constexpr milliseconds kMaxReconnectPause(200);
 constexpr milliseconds kChooseRetryInterval(50);
-constexpr milliseconds kReportTimeout(400);
-// Older counts are outside the sliding window of every rate limit.
-constexpr milliseconds kMaxResentCountAge(5000);
-constexpr milliseconds kReportDelay(15);
-constexpr milliseconds kUrgentReportDelay(2);
 constexpr milliseconds kProbeInterval(5000);
 constexpr milliseconds kProbeTimeout(500);
 // The current core VM is kept unless the round trip to another one is shorter by this factor.
@@ -79,10 +75,11 @@
   return *peer.channel;
 }
 
-// Returns the core VM in the VM's own data centre or else with the shortest round trip that is not
-// backed off. Unmeasured ones come last: they are probed beside the watch calls, and one that does
-// not answer would hold up the news for as long as its probe lasts. If all are backed off, returns
-// the one whose backoff ends first.
+// Returns the core VM in the VM's own data centre or else with the shortest round trip that has not
+// failed. One that has failed comes after them until a probe was answered: a VM without an answer
+// has no limits and goes by its local quota. Unmeasured ones come last: they are probed beside the
+// watch calls, and one that does not answer would hold up the news for as long as its probe lasts.
+// If all are backed off, returns the one whose backoff ends first.
 fleet_link::core_vm* fleet_link::ChooseCore() {
   const steady_time now = clock_.Now();
   core_vm* best = nullptr;
@@ -99,6 +96,9 @@
     if (is_a_measured != (b.round_trip.count() > 0)) {
       return is_a_measured;
     }
+    if ((a.failures > 0) != (b.failures > 0)) {
+      return b.failures > 0;
+    }
     if (a.is_same_data_centre != b.is_same_data_centre) {
       return a.is_same_data_centre;
     }
@@ -110,7 +110,8 @@
     }
   }
   const bool is_current_usable = best != nullptr && current_ != nullptr && current_ != best &&
-                                 current_->backoff_until <= now && current_->round_trip.count() > 0;
+                                 current_->backoff_until <= now && current_->failures == 0 &&
+                                 current_->round_trip.count() > 0;
   if (is_current_usable && current_->is_same_data_centre == best->is_same_data_centre &&
       best->round_trip * kMinRoundTripGain > current_->round_trip) {
     return current_;
@@ -213,18 +214,22 @@
   if (news.age > kMaxCoreStateAge) {
     ProbeForFresherState(peer, news.age);
   } else {
-    if (std::exchange(peer.failures, 0) > 0) {
-      log_event(log_level::kInfo, "core_regained").Field("core", FormatEndpoint(peer.address));
-    }
-    peer.backoff_until = {};
+    NoteAnswered(peer);
   }
   if (on_update) {
     on_update();
   }
-  ProbeUnmeasuredCores();
+  ProbeCores();
   Watch();
 }
 
+void fleet_link::NoteAnswered(core_vm& peer) {
+  if (std::exchange(peer.failures, 0) > 0) {
+    log_event(log_level::kInfo, "core_regained").Field("core", FormatEndpoint(peer.address));
+  }
+  peer.backoff_until = {};
+}
+
 // During a leader election the state of every core VM ages, and switching to another one does not
 // help. The other core VMs are therefore probed, and the current one is left only for a core VM
 // whose state is younger by `kMinStateAgeGain`.
@@ -253,7 +258,7 @@
           if (*alive && news != nullptr) {
             RecordRoundTrip(*other, *news, sent_at);
             if (news->age + kMinStateAgeGain < age && current_ == &stale) {
-              view_.Apply(*news, sent_at, clock_.Now());
+              view_.Apply(WithoutContact(*news, view_.Known()), sent_at, clock_.Now());
               BackOff(stale, "its state is " + std::to_string(age.count()) + " ms old");
               if (on_update) {
                 on_update();
@@ -287,223 +292,53 @@
   }
 }
 
-// Probes every core VM whose round trip is unknown, at most once per `kProbeInterval`, so that
-// `ChooseCore` can find a nearer one.
-void fleet_link::ProbeUnmeasuredCores() {
-  const steady_time now = clock_.Now();
-  const bool has_unmeasured = std::any_of(cores_.begin(), cores_.end(), [&](const auto& item) {
-    return item.second->round_trip.count() == 0 && item.second->backoff_until <= now;
-  });
-  if (now < next_probe_ || !has_unmeasured) {
-    return;
-  }
-  next_probe_ = now + kProbeInterval;
+bool fleet_link::IsProbeDue(const core_vm& peer) const {
+  const bool is_unmeasured = peer.round_trip.count() == 0 && clock_.Now() >= next_probe_;
+  return &peer != current_ && !peer.is_probed && peer.backoff_until <= clock_.Now() &&
+         (is_unmeasured || peer.failures > 0);
+}
+
+// Probes every core VM that has failed, after its backoff, and every one whose round trip is
+// unknown, at most once per `kProbeInterval`, so that `ChooseCore` can find a nearer one.
+void fleet_link::ProbeCores() {
+  std::vector<core_vm*> due;
   for (const auto& [address, each] : cores_) {
-    core_vm* other = each.get();
-    if (other == current_ || other->is_probed || other->round_trip.count() != 0 ||
-        other->backoff_until > now) {
-      continue;
+    if (IsProbeDue(*each)) {
+      due.push_back(each.get());
+    }
+  }
+  const steady_time now = clock_.Now();
+  for (core_vm* other : due) {
+    if (other->round_trip.count() == 0) {
+      next_probe_ = now + kProbeInterval;
     }
+    other->backoff_until = now + kProbeTimeout;  // One probe at a time.
     watch_request request = MakeProbeRequest();
     request.vm = settings_.vm;
     request.cores_digest = cores_digest_;
     request.data_centre = settings_.data_centre;
-    const steady_time sent_at = clock_.Now();
     ChannelOf(*other).Call<watch_reply>(
         "fleet.watch", request, kProbeTimeout,
-        [this, alive = is_alive_, other, sent_at](const rpc_result<watch_reply>& reply) {
-          if (!*alive) {
-            return;
-          }
-          if (const auto* news = std::get_if<watch_reply>(&reply)) {
-            RecordRoundTrip(*other, *news, sent_at);
-          } else {
-            BackOff(*other, std::get<rpc_failure>(reply).detail);
+        [this, alive = is_alive_, other, sent_at = now](const rpc_result<watch_reply>& reply) {
+          if (*alive) {
+            OnProbed(*other, reply, sent_at);
           }
         });
   }
 }
 
-// ---- Reports ----
-
-void fleet_link::NoteOutcome(const attempt_outcome& outcome) {
-  unsent_.outcomes.push_back(outcome);
-  ScheduleReport(outcome.evidence != attempt_evidence::kGood);
-}
-
-void fleet_link::NoteWorkspace(const std::string& workspace, bool is_admitted) {
-  auto found = std::find_if(unsent_.workspaces.begin(), unsent_.workspaces.end(),
-                            [&](const named_counts& note) { return note.name == workspace; });
-  if (found == unsent_.workspaces.end()) {
-    found = unsent_.workspaces.insert(found, {workspace, 0, 0});
-  }
-  ++(is_admitted ? found->first : found->second);
-  ScheduleReport(false);
-}
-
-void fleet_link::NoteService(const std::string& service, service_event event) {
-  auto found = std::find_if(unsent_.services.begin(), unsent_.services.end(),
-                            [&](const named_counts& note) { return note.name == service; });
-  if (found == unsent_.services.end()) {
-    found = unsent_.services.insert(found, {service, 0, 0, 0});
-  }
-  ++(event == service_event::kRequest  ? found->first
-     : event == service_event::kRepeat ? found->second
-                                       : found->third);
-  ScheduleReport(false);
-}
-
-void fleet_link::NoteCrash(const crash_report& note) {
-  unsent_.crashes.push_back(note);
-  ScheduleReport(true);
-}
-
-void fleet_link::NoteLimit(const stated_limit& limit) {
-  std::erase_if(unsent_.limits,
-                [&](const stated_limit& other) { return other.upstream == limit.upstream; });
-  unsent_.limits.push_back(limit);
-  ScheduleReport(true);
-}
-
-void fleet_link::NoteResponseTime(const std::string& service, std::chrono::nanoseconds taken) {
-  CountLatency(unsent_.latencies, service, taken);
-  ScheduleReport(false);
-}
-
-void fleet_link::NoteLostRace(const lost_race& race) {
-  unsent_.lost_races.push_back(race);
-  ScheduleReport(false);
-}
-
-void fleet_link::NoteLoad(upstream_handle upstream, std::uint32_t running) {
-  if (running == 0) {
-    loads_.erase(upstream);
-  } else {
-    loads_[upstream] = running;
-  }
-  ScheduleReport(false);
-}
-
-void fleet_link::NoteWaiting(std::vector<service_waiting> waiting) {
-  const bool is_renewal_due = !waiting.empty() && clock_.Now() - waiting_reported_at_ >=
-                                                      load_change_tracker::kResendInterval;
-  if (waiting == waiting_ && !is_renewal_due) {
-    return;
-  }
-  waiting_ = std::move(waiting);
-  is_waiting_due_ = true;
-  ScheduleReport(false);
-}
-
-std::uint32_t fleet_link::ReportedLoad(upstream_handle upstream) const {
-  return reported_.LastSent(upstream);
-}
-
-void fleet_link::ScheduleReport(bool is_urgent) {
-  if (is_urgent ? std::exchange(is_urgent_scheduled_, true)
-                : std::exchange(is_report_scheduled_, true)) {
-    return;
+void fleet_link::OnProbed(core_vm& peer,
+                          const rpc_result<watch_reply>& reply,
+                          steady_time sent_at) {
+  const auto* news = std::get_if<watch_reply>(&reply);
+  if (news == nullptr) {
+    return BackOff(peer, std::get<rpc_failure>(reply).detail);
   }
-  loop_.After(is_urgent ? kUrgentReportDelay : kReportDelay,
-              [this, alive = is_alive_, generation = report_generation_] {
-                if (*alive && generation == report_generation_) {
-                  Flush();
-                }
-              });
-}
-
-// Outcomes of a failed report are too old to be sent again. Counts are sent again, since the limits
-// are computed from them.
-void fleet_link::RetainCounts(const observations& seen, steady_time sent_at) {
-  if (!seen.workspaces.empty() || !seen.services.empty()) {
-    undelivered_.push_back({sent_at, seen.workspaces, seen.services});
-  }
-  for (const resent_counts& late : seen.late) {
-    undelivered_.push_back({sent_at - late.age, late.workspaces, late.services});
-  }
-  if (!undelivered_.empty()) {
-    ScheduleReport(false);
-  }
-}
-
-void fleet_link::NoteDelivered(const observations& seen, steady_time sent_at) {
-  const auto note = [this](steady_time at, const std::vector<named_counts>& workspaces) {
-    const bool is_same_step = !delivered_.empty() && at - delivered_.back().at < kFormerCountStep;
-    if (is_same_step && at >= delivered_.back().at) {
-      MergeCounts(delivered_.back().workspaces, workspaces);
-    } else if (!workspaces.empty()) {
-      delivered_.push_back({at, workspaces, {}});
-    }
-  };
-  note(sent_at, seen.workspaces);
-  for (const resent_counts& late : seen.late) {
-    note(sent_at - late.age, late.workspaces);
-  }
-  while (!delivered_.empty() && sent_at - delivered_.front().at > kMaxResentCountAge) {
-    delivered_.pop_front();
-  }
-}
-
-std::vector<resent_counts> fleet_link::FormerCounts(steady_time now) const {
-  std::vector<resent_counts> former;
-  for (const timed_counts& counts : delivered_) {
-    const auto age = std::chrono::duration_cast<milliseconds>(now - counts.at);
-    if (age < kMaxResentCountAge) {
-      former.push_back({age, counts.workspaces, {}});
-    }
-  }
-  return former;
-}
-
-void fleet_link::FlushLast() {
-  is_last_due_ = true;
-  Flush();
-}
-
-void fleet_link::Flush() {
-  ++report_generation_;
-  is_report_scheduled_ = is_urgent_scheduled_ = false;
-  if (current_ == nullptr) {
-    return;
-  }
-  const steady_time now = clock_.Now();
-  report_request request;
-  request.loads = reported_.Update(loads_, now);
-  request.is_last = is_last_due_;
-  if (unsent_.IsEmpty() && request.loads.empty() && undelivered_.empty() && !is_former_due_ &&
-      !is_last_due_ && !is_waiting_due_) {
-    return;
-  }
-  request.vm = settings_.vm;
-  request.waiting = waiting_;
-  waiting_reported_at_ = now;
-  is_waiting_due_ = false;
-  request.seen = std::exchange(unsent_, {});
-  const bool has_former = std::exchange(is_former_due_, false);
-  if (has_former) {
-    request.former = FormerCounts(now);
-    request.former_core = former_incarnation_;
-  }
-  for (const timed_counts& counts : std::exchange(undelivered_, {})) {
-    const auto age = std::chrono::duration_cast<milliseconds>(now - counts.at);
-    if (age < kMaxResentCountAge) {
-      request.seen.late.push_back({age, counts.workspaces, counts.services});
-    }
+  RecordRoundTrip(peer, *news, sent_at);
+  if (news->age > kMaxCoreStateAge && peer.failures > 0) {
+    return BackOff(peer, "its state is " + std::to_string(news->age.count()) + " ms old");
   }
-  ChannelOf(*current_).Call<done_reply>(
-      "fleet.report", request, kReportTimeout,
-      [this, alive = is_alive_, seen = request.seen, has_former,
-       sent_at = clock_.Now()](const rpc_result<done_reply>& reply) {
-        if (!*alive) {
-          return;
-        }
-        if (std::holds_alternative<rpc_failure>(reply)) {
-          is_former_due_ = is_former_due_ || has_former;
-          RetainCounts(seen, sent_at);
-        } else {
-          NoteDelivered(seen, sent_at);
-        }
-      });
+  NoteAnswered(peer);
 }
 
 }  // namespace corianderhoist
