Reckon with a whole window of late counts until a core VM's counts are complete

Cause: since a region's scaled counts cover the last 0.4 or 1.6 s only. After a loss of all core VMs nobody has the older counts of other regions. The existing checks did not show it.

Change: the scaled counts cover the whole window until the counts of the core VM are complete. The scaled number of admitted requests is no longer lowered by a deviation, that of rates only below ten requests.

--- a/src/fleet/fleet_usage.cpp
+++ b/src/fleet/fleet_usage.cpp
@@ -388,8 +388,11 @@
 }
 
 // The counts of other regions are late by this time. Core VMs that have not been heard for longer
-// are in `unreported_by_cores_`.
+// are in `unreported_by_cores_`, unless this core VM has started since.
 milliseconds fleet_usage::CountDelay() const {
+  if (!HasCompleteCounts()) {
+    return settings_.rates.window;
+  }
   const bool is_near_limit = near_limit_since_ && clock_.Now() >= *near_limit_since_;
   return (is_near_limit ? kCoreSilenceNearLimit : kCoreSilence) + sliding_count::kBucketDuration;
 }
@@ -403,7 +406,7 @@
   const double ratio = FleetToRegionRatio();
   const workspace_usage all = all_.UsageOf(workspace, settings_.rates, now);
   const workspace_usage own = regional_.UsageOf(workspace, settings_.rates, now, ratio);
-  const double late = EstimateFleetCount(regional_.Admitted(workspace, CountDelay(), now), ratio) -
+  const double late = regional_.Admitted(workspace, CountDelay(), now) * ratio -
                       all_.Admitted(workspace, CountDelay(), now);
   const double uncounted = std::max(UnreportedBy(workspace), late);
   workspace_usage bound;
--- a/src/fleet/usage_ledger.cpp
+++ b/src/fleet/usage_ledger.cpp
@@ -14,6 +14,9 @@
 constexpr milliseconds kDemandMemory(1000);
 // Fewer requests in a short window do not tell a peak from chance.
 constexpr std::uint64_t kMinPeakRequests = 20;
+// From this number of counted requests on, chance changes an estimate of the fleet's requests by
+// less than the reserve of a workspace of that size.
+constexpr double kMinSampleRequests = 10;
 // Delay of the control loop: until a request is counted and until the resulting decision reaches
 // the VMs.
 constexpr double kFeedbackDelaySeconds = 0.3;
@@ -78,6 +81,9 @@
 }
 
 double EstimateFleetCount(double counted, double ratio) {
+  if (counted >= kMinSampleRequests) {
+    return counted * ratio;
+  }
   // The counted requests are a sample: each came to this part with a probability of 1 / ratio.
   const double deviation = std::sqrt(counted * (1 - 1 / ratio));
   return std::max(counted, ratio * (counted - deviation));
--- a/src/fleet/usage_ledger.h
+++ b/src/fleet/usage_ledger.h
@@ -61,10 +61,11 @@
   double demand_rate = 0;    ///< The same, admitted and refused.
 };
 
-/// A cautious estimate of the requests of the whole fleet, from those that were counted in a part
-/// of it with one of `ratio` VMs: a standard deviation of the counted ones below their proportion.
-/// It answers a demand that has risen before the counts of other parts arrive; the deviation keeps
-/// few requests of a small workspace, which differ by chance, from looking like a rise.
+/// An estimate of the requests of the whole fleet, from those that were counted in a part of it
+/// with one of `ratio` VMs. Below ten requests it is a standard deviation lower than their
+/// proportion. It answers a demand that has risen before the counts of other parts arrive; the
+/// deviation keeps few requests of a small workspace, which differ by chance, from looking like a
+/// rise.
 double EstimateFleetCount(double counted, double ratio);
 
 /// Repeat budget of a service: at most ratio x requests + extra repeats in any `window`.
