--- a/src/serving/fleet_link.cpp
+++ b/src/serving/fleet_link.cpp
@@ -75,11 +75,10 @@
   return *peer.channel;
 }
 
-// Returns the core VM in the VM's own data centre or else with the shortest round trip that has not
-// failed. One that has failed comes after them until a probe was answered: a VM without an answer
-// has no limits and goes by its local quota. Unmeasured ones come last: they are probed beside the
-// watch calls, and one that does not answer would hold up the news for as long as its probe lasts.
-// If all are backed off, returns the one whose backoff ends first.
+// Returns the core VM in the VM's own data centre or else with the shortest round trip that is not
+// backed off. Unmeasured ones come last: they are probed beside the watch calls, and one that does
+// not answer would hold up the news for as long as its probe lasts. If all are backed off, returns
+// the one whose backoff ends first.
 fleet_link::core_vm* fleet_link::ChooseCore() {
   const steady_time now = clock_.Now();
   core_vm* best = nullptr;
@@ -96,9 +95,6 @@
     if (is_a_measured != (b.round_trip.count() > 0)) {
       return is_a_measured;
     }
-    if ((a.failures > 0) != (b.failures > 0)) {
-      return b.failures > 0;
-    }
     if (a.is_same_data_centre != b.is_same_data_centre) {
       return a.is_same_data_centre;
     }
@@ -296,11 +292,11 @@
 bool fleet_link::IsProbeDue(const core_vm& peer) const {
   const bool is_unmeasured = peer.round_trip.count() == 0 && clock_.Now() >= next_probe_;
   return &peer != current_ && !peer.is_probed && peer.backoff_until <= clock_.Now() &&
-         (is_unmeasured || peer.failures > 0);
+         is_unmeasured;
 }
 
-// Probes every core VM that has failed, after its backoff, and every one whose round trip is
-// unknown, at most once per `kProbeInterval`, so that `ChooseCore` can find a nearer one.
+// Probes every core VM whose round trip is unknown, at most once per `kProbeInterval`, so that
+// `ChooseCore` can find a nearer one.
 void fleet_link::ProbeCores() {
   std::vector<core_vm*> due;
   for (const auto& [address, each] : cores_) {
