--- a/src/serving/request_waiting.cpp
+++ b/src/serving/request_waiting.cpp
@@ -103,10 +103,7 @@
     return;
   }
   waited_ += duration_cast<milliseconds>(context_.clock.Now() - queued_at_);
-  const std::string* host = FindHeader(request_.headers, "Host");
-  const std::string* key = FindHeader(request_.headers, context_.settings.callers.key);
-  const admission_decision decision = context_.admission_control.Decide(
-      {host != nullptr ? *host : std::string_view(), request_.path, key});
+  const admission_decision decision = Decide();
   if (decision.refusal) {
     Refuse(*decision.refusal, decision.detail);
   } else if (context_.view.IsBlocked(fingerprint_)) {
