Announce closed connections before the entry VM says that it is not ready

Readiness was switched off first, on another thread than the callers' connections, and a request between the two got a kept connection. Now the order is the other way round.

--- a/src/entry/entry_vm.cpp
+++ b/src/entry/entry_vm.cpp
@@ -243,12 +243,14 @@
 }
 
 void entry_vm::state::BeginDrain() {
+  // Before the VM says that it is not ready: callers that have seen it rely on the closed
+  // connections.
+  callers->AnnounceClose();
   is_draining = true;
   drain_started_at = context.clock.Now();
   log_event(log_level::kInfo, "drain_started")
       .Field("running_requests", std::uint64_t(context.active_request_count));
   ForEachWorker([this](entry_worker& worker) { worker.drain.Begin(drain_started_at); });
-  callers->AnnounceClose();
   drain_timer = std::make_unique<QTimer>();
   QObject::connect(drain_timer.get(), &QTimer::timeout, drain_timer.get(), [this] { PollDrain(); });
   drain_timer->start(kDrainPollInterval);
