Report a reset that a failed send has seen first as a reset

What callers saw: an upstream answered a long upload with a 200 without a length, sent a part of its body and reset the connection while the VM was still sending. The caller got that part as a complete 200 (MIXED); with another status it got a truncated failure as a whole one.

Cause: send() returns the pending error of the socket and clears it. After a send that fails with ECONNRESET, recv() returns the bytes that had arrived and then 0, which tcp_stream reported as kFinished, and the close of the connection is the end of a body without a length. The comment in Flush said that the next read reports the broken connection; it does not.

Change: tcp_stream remembers that a send failed because of a reset (or a timeout) and ends as kReset once the received bytes are read. EPIPE as the first error is not one: Linux returns it if the peer's FIN came before the reset, and then the body had ended. Such an answer is still delivered.

kFinished is read in one place, upstream_call::OnClosed. A cut answer is now kBroken there: 502, not repeated unless the route allows it, and a failure of the upstream instead of a success. Answers with a length or in chunks were recognised before. front_connection ends in the same way for both ends. The VMs under a lease (upstream_exchange) refuse answers without a length.

Tests: 'tcp stream whose send fails before it reads' (4 rows) and 'answer cut during an upload' (36 rows: framing, HTTP/1.0, failures, both kinds of route, new and reused connection). The latter holds the loop of the VM while bytes wait to be sent and until the upstream has answered and reset, so that the send fails first each time.

--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -119,7 +119,7 @@
     return;
   }
   if (count <= 0) {
-    End(count == 0 ? stream_end::kFinished : stream_end::kReset);
+    End(count == 0 && !was_reset_ ? stream_end::kFinished : stream_end::kReset);
     return;
   }
   if (events_.on_bytes) {
@@ -178,9 +178,12 @@
       continue;
     }
     if (sent < 0) {
-      // The next read reports a broken connection, after the remaining incoming bytes.
       const bool is_full = errno == EAGAIN || errno == EWOULDBLOCK;
       if (!is_full) {
+        // `OnReadable` reports the end after the remaining incoming bytes. The failed `send` has
+        // cleared the error of the socket, so that `recv` then returns 0 as after a regular close.
+        // The error is `EPIPE` only if a regular close was received before the reset.
+        was_reset_ = was_reset_ || errno != EPIPE;
         pending_.clear();
         pending_start_ = 0;
       }
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -79,6 +79,7 @@
   buffer_hold hold_;  ///< Of `pending_`.
   bool is_connected_ = false;
   bool is_finishing_ = false;
+  bool was_reset_ = false;  ///< Known from a failed send, before all received bytes are read.
   bool has_ended_ = false;
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
 };
--- a/tests/support/scripted_upstream.cpp
+++ b/tests/support/scripted_upstream.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -119,6 +120,14 @@
   ::close(listener_);
 }
 
+void scripted_upstream::UseSlowLink() {
+  constexpr int kSegmentBytes = 536;
+  constexpr int kReceiveBytes = 4096;
+  // Accepted sockets inherit both from the listener.
+  ::setsockopt(listener_, IPPROTO_TCP, TCP_MAXSEG, &kSegmentBytes, sizeof(kSegmentBytes));
+  ::setsockopt(listener_, SOL_SOCKET, SO_RCVBUF, &kReceiveBytes, sizeof(kReceiveBytes));
+}
+
 std::vector<scripted_request> scripted_upstream::Requests() const {
   const std::lock_guard guard(lock_);
   return requests_;
@@ -136,6 +145,7 @@
       threads_.emplace_back([this, descriptor, number = connections++] {
         Serve(descriptor, number);
         ::close(descriptor);
+        ++ended_;
       });
     }
   }
@@ -160,6 +170,9 @@
     std::this_thread::sleep_for(early_pause_);
     ::send(descriptor, early.data() + first, early.size() - first, MSG_NOSIGNAL);
   }
+  if (is_early_ && is_early_(request)) {
+    return true;
+  }
   if (request.Header("Transfer-Encoding") == "chunked") {
     while (!TakeChunkedBody(buffer, request.body)) {
       if (!ReadMore(descriptor, buffer, is_stopping_)) {
@@ -204,6 +217,9 @@
         break;
       case after_answer::kClose:
         return;
+      case after_answer::kFinishAndReset:
+        ::shutdown(descriptor, SHUT_WR);
+        [[fallthrough]];
       case after_answer::kReset: {
         const linger reset{1, 0};
         ::setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
--- a/tests/support/scripted_upstream.h
+++ b/tests/support/scripted_upstream.h
@@ -17,8 +17,9 @@
   kKeep,
   kClose,
   kReset,
-  kHang,   ///< Sends nothing more and waits for the peer to close.
-  kFlood,  ///< Sends `scripted_answer::repeated` until the peer closes.
+  kFinishAndReset,  ///< Closes its sending side, then resets the connection.
+  kHang,            ///< Sends nothing more and waits for the peer to close.
+  kFlood,           ///< Sends `scripted_answer::repeated` until the peer closes.
 };
 
 /// The answer to one request.
@@ -58,7 +59,17 @@
     early_bytes_ = std::move(script);
     early_pause_ = pause;
   }
+  /// Requests for which `is_early` holds are answered before their body is read; their connection
+  /// must end after the answer. Call before the first request.
+  void SetEarlyAnswers(std::function<bool(const scripted_request&)> is_early) {
+    is_early_ = std::move(is_early);
+  }
+  /// Makes the kernels of both sides buffer few bytes of a request that is not read. Call before
+  /// the first request.
+  void UseSlowLink();
   std::vector<scripted_request> Requests() const;
+  /// Number of connections that have ended, for any reason.
+  int EndedConnections() const { return ended_; }
   /// Number of connections that the peer closed after an answer with `after_answer::kHang` or
   /// `after_answer::kFlood`.
   int AbandonedConnections() const { return abandoned_; }
@@ -71,10 +82,12 @@
   const std::function<scripted_answer(const scripted_request&)> script_;
   std::function<std::string(const scripted_request&)> early_bytes_;
   std::chrono::milliseconds early_pause_{};
+  std::function<bool(const scripted_request&)> is_early_;
   int listener_ = -1;
   std::uint16_t port_ = 0;
   std::atomic<bool> is_stopping_ = false;
   std::atomic<int> abandoned_ = 0;
+  std::atomic<int> ended_ = 0;
   mutable std::mutex lock_;
   std::vector<scripted_request> requests_;
   std::vector<std::thread> threads_;
