Take an answer with a status below 100 as broken

What callers saw: an upstream in trouble sent a head with status 000 and a body that looked like a signed answer. The caller got that body as a complete 200.

Cause: answer_reader skips every head with a status below 200 as an interim answer, also 000, 050 and 099, and reads the bytes behind it as the next answer. Statuses below 100 are not defined (RFC 9110, 15).

Change: they are refused like those above 599, so that the attempt ends as broken: 502, or a repetition at another upstream where the route allows it. Both serving programs use this reader.

Tests: 'answer with an invalid status' (36 rows: both kinds of route, new and reused connection); 16 failed before (000 with and without a length, 050, 099: 200 with the imitated body for each). Two rows of 'answer' failed before. The rows for 600, 999, two digits, four digits and a sign passed before.

--- a/src/http/answer_reader.cpp
+++ b/src/http/answer_reader.cpp
@@ -17,6 +17,7 @@
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 constexpr int kMaxInterimAnswers = 8;
 constexpr int kSwitchingProtocols = 101;
+constexpr int kMinStatus = 100;
 constexpr int kMinFinalStatus = 200;
 constexpr int kMaxStatus = 599;
 
@@ -74,7 +75,7 @@
   auto& beast = parser_->beast;
   const auto& message = beast.get();
   const auto status = static_cast<int>(message.result_int());
-  if (status == kSwitchingProtocols || status > kMaxStatus) {
+  if (status < kMinStatus || status == kSwitchingProtocols || status > kMaxStatus) {
     return FailUpstreamBroken("answer has status " + std::to_string(status));
   }
   if (status < kMinFinalStatus) {
--- a/tests/unit/http/answer_reader_test.cpp
+++ b/tests/unit/http/answer_reader_test.cpp
@@ -45,6 +45,8 @@
          "broken"},
         {"that switches protocols", "HTTP/1.1 101 Switching Protocols\r\n\r\n", "broken"},
         {"with an unknown status", "HTTP/1.1 999 Odd\r\nContent-Length: 0\r\n\r\n", "broken"},
+        {"with status 000", "HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n", "broken"},
+        {"with status 099", "HTTP/1.1 099 None\r\n\r\n", "broken"},
         {"with a large header", "HTTP/1.1 200 OK\r\nX: " + std::string(70'000, 'x'), "broken"},
         {"that is not HTTP", "hello\r\n\r\n", "broken"},
         {"with an invalid chunk",
--- /dev/null
+++ b/tests/unit/serving/broken_answer_test.cpp
@@ -0,0 +1,90 @@
+// Upstreams in trouble whose bytes are no answer. The caller gets none of them, least of all bytes
+// that imitate a signed answer.
+#include "support/serving_fixture.h"
+#include "support/test_table.h"
+
+namespace corianderhoist {
+namespace {
+
+enum class framing {
+  kLength,  ///< The head states the length of the bytes behind it.
+  kNone,
+};
+
+struct broken_answer_case {
+  std::string name;
+  std::string start;  ///< Status and reason.
+  std::string lines;  ///< Header fields, each with its line end, before the id and the signature.
+  framing body = framing::kLength;
+};
+
+/// A broken answer, the route of the request and its connection.
+struct broken_exchange_case {
+  std::string name;
+  broken_answer_case answer;
+  bool is_safe;    ///< Whether the route allows the request to run more than once.
+  bool is_reused;  ///< An earlier request has used the connection.
+};
+
+std::vector<broken_exchange_case> OnEachConnection(const std::vector<broken_answer_case>& answers) {
+  std::vector<broken_exchange_case> cases;
+  for (const broken_answer_case& answer : answers) {
+    for (const bool is_safe : {false, true}) {
+      for (const bool is_reused : {false, true}) {
+        cases.push_back({answer.name + (is_safe ? ", repeatable" : "") +
+                             (is_reused ? ", on a reused connection" : ""),
+                         answer, is_safe, is_reused});
+      }
+    }
+  }
+  return cases;
+}
+
+std::string BrokenAnswer(const broken_answer_case& row, const scripted_request& request) {
+  const std::string imitation = SignedAnswer(request, 200, "imitation");
+  std::string head = "HTTP/1.1 " + row.start + "\r\n" + row.lines +
+                     "X-Attempt-Id: " + request.Header("X-Attempt-Id") + "\r\nX-Signature: s\r\n";
+  switch (row.body) {
+    case framing::kLength:
+      return head + "Content-Length: " + std::to_string(imitation.size()) + "\r\n\r\n" + imitation;
+    case framing::kNone:
+      return head + "\r\n" + imitation;
+  }
+  return head;
+}
+
+void CheckRefused(const broken_exchange_case& row) {
+  serving_fixture fixture;
+  fixture.Add("u1", row.is_safe ? "reads" : "orders", [&row](const scripted_request& request) {
+    if (request.head.find("/first ") != std::string::npos) {
+      return scripted_answer{SignedAnswer(request, 200, "ok")};
+    }
+    return scripted_answer{BrokenAnswer(row.answer, request), after_answer::kClose};
+  });
+  fixture.Start();
+  const std::string route = row.is_safe ? "/safe" : "/once";
+  if (row.is_reused) {
+    CPPUNIT_ASSERT_EQUAL(200, fixture.Call({.path = route + "/first", .id = "id0"}).status);
+  }
+  const caller_answer answer =
+      fixture.Call({.method = "PUT", .path = route + "/broken", .body = "b"});
+  CPPUNIT_ASSERT_EQUAL_MESSAGE(answer.body, 502, answer.status);
+  CPPUNIT_ASSERT_EQUAL(std::string("unknown"), answer.Header("Corianderhoist-Outcome"));
+}
+
+const test_table kStatuses("answer with an invalid status",
+                           OnEachConnection({
+                               {"000", "000 None", ""},
+                               {"000 and no length", "000 None", "", framing::kNone},
+                               {"050", "050 None", ""},
+                               {"099", "099 None", ""},
+                               {"600", "600 None", ""},
+                               {"999", "999 None", ""},
+                               {"of two digits", "20 OK", ""},
+                               {"of four digits", "2000 OK", ""},
+                               {"that is negative", "-20 OK", ""},
+                           }),
+                           std::function(CheckRefused));
+
+}  // namespace
+}  // namespace corianderhoist
