Take an interim answer that announces a body as broken

What callers saw: as with status 000. An upstream sent '100 Continue' or '103 Early Hints' with a Content-Length or a Transfer-Encoding and a body that looked like a signed answer; the caller got that body as a complete 200.

Cause: the same as for statuses below 100: bytes behind a head that is not a valid interim answer are read as the next answer. An interim answer must not have these fields (RFC 9110, 8.6 and RFC 9112, 6.1); a recipient that ignores them and a sender that means them disagree about where the next answer begins.

Change: such a head is broken. 'Content-Length: 0' leaves no doubt and is still skipped.

Tests: 'interim answer that announces a body' (8 rows) and two rows of 'answer' failed before; 'after an interim answer without a body' passed before.

--- a/src/http/answer_reader.cpp
+++ b/src/http/answer_reader.cpp
@@ -25,6 +25,11 @@
   return Fail(error_kind::kUpstreamBroken, std::move(text));
 }
 
+bool AnnouncesBody(const header_fields& headers) {
+  const std::string* length = FindHeader(headers, "Content-Length");
+  return (length != nullptr && *length != "0") || CountHeaders(headers, "Transfer-Encoding") > 0;
+}
+
 }  // namespace
 
 struct answer_reader::parser {
@@ -78,17 +83,22 @@
   if (status < kMinStatus || status == kSwitchingProtocols || status > kMaxStatus) {
     return FailUpstreamBroken("answer has status " + std::to_string(status));
   }
+  answer_head head;
+  head.status = status;
+  for (const auto& field : message) {
+    head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  }
   if (status < kMinFinalStatus) {
+    if (AnnouncesBody(head.headers)) {
+      // Interim answers have no body, so bytes that the sender takes for one would be read as the
+      // next answer.
+      return FailUpstreamBroken("interim answer announces a body");
+    }
     if (++interim_answers_ > kMaxInterimAnswers) {
       return FailUpstreamBroken("too many interim answers");
     }
     return {};
   }
-  answer_head head;
-  head.status = status;
-  for (const auto& field : message) {
-    head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-  }
   const bool has_length = CountHeaders(head.headers, "Content-Length") > 0;
   if (CountHeaders(head.headers, "Content-Length") > 1 || (has_length && beast.chunked())) {
     return FailUpstreamBroken("length of the answer is ambiguous");
--- a/tests/unit/http/answer_reader_test.cpp
+++ b/tests/unit/http/answer_reader_test.cpp
@@ -47,6 +47,18 @@
         {"with an unknown status", "HTTP/1.1 999 Odd\r\nContent-Length: 0\r\n\r\n", "broken"},
         {"with status 000", "HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n", "broken"},
         {"with status 099", "HTTP/1.1 099 None\r\n\r\n", "broken"},
+        {"after an interim answer without a body",
+         "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n"
+         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi",
+         "complete", "hi"},
+        {"after an interim answer with a length",
+         "HTTP/1.1 100 Continue\r\nContent-Length: 9\r\n\r\n"
+         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi",
+         "broken"},
+        {"after an interim answer in chunks",
+         "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi",
+         "broken"},
         {"with a large header", "HTTP/1.1 200 OK\r\nX: " + std::string(70'000, 'x'), "broken"},
         {"that is not HTTP", "hello\r\n\r\n", "broken"},
         {"with an invalid chunk",
--- a/tests/unit/serving/broken_answer_test.cpp
+++ b/tests/unit/serving/broken_answer_test.cpp
@@ -86,5 +86,13 @@
                            }),
                            std::function(CheckRefused));
 
+const test_table kInterim("interim answer that announces a body",
+                          OnEachConnection({
+                              {"with a length", "100 Continue", ""},
+                              {"in chunks", "103 Early Hints", "Transfer-Encoding: chunked\r\n",
+                               framing::kNone},
+                          }),
+                          std::function(CheckRefused));
+
 }  // namespace
 }  // namespace corianderhoist
