Take an answer in an unknown transfer coding as broken

Cause: Beast knows 'chunked' as the last coding and passes over all others. The body was then read up to the close, the Content-Length or the last chunk, and Transfer-Encoding concerns one connection, so that it is not passed on.

Change: answer_reader accepts one Transfer-Encoding field with the coding 'chunked' alone, as request_checks does for requests; RFC 9112, 6.1 has a recipient refuse codings that it does not know. Answers without a body (HEAD, 204, 304) are not concerned.

--- a/src/http/answer_reader.cpp
+++ b/src/http/answer_reader.cpp
@@ -1,5 +1,7 @@
 #include "http/answer_reader.h"
 
+#include "http/answer_head_text.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -30,6 +32,14 @@
   return (length != nullptr && *length != "0") || CountHeaders(headers, "Transfer-Encoding") > 0;
 }
 
+// Whether the body has a transfer coding besides chunks. The reader does not decode it, and the
+// caller would not know of it, since the field is not passed on.
+bool IsCoded(const header_fields& headers) {
+  const std::string* coding = FindHeader(headers, "Transfer-Encoding");
+  return coding != nullptr &&
+         (CountHeaders(headers, "Transfer-Encoding") > 1 || !IsSameName(*coding, "chunked"));
+}
+
 }  // namespace
 
 struct answer_reader::parser {
@@ -103,6 +113,9 @@
   if (CountHeaders(head.headers, "Content-Length") > 1 || (has_length && beast.chunked())) {
     return FailUpstreamBroken("length of the answer is ambiguous");
   }
+  if (!is_head_request_ && HasBody(status) && IsCoded(head.headers)) {
+    return FailUpstreamBroken("answer has a transfer coding other than 'chunked'");
+  }
   is_close_delimited_ = !beast.is_done() && beast.need_eof();
   if (is_close_delimited_ && close_delimited_ == close_delimited_answers::kRefused) {
     return FailUpstreamBroken("answer has no length");
--- a/tests/unit/serving/broken_answer_test.cpp
+++ b/tests/unit/serving/broken_answer_test.cpp
@@ -3,11 +3,14 @@
 #include "support/serving_fixture.h"
 #include "support/test_table.h"
 
+#include <sstream>
+
 namespace corianderhoist {
 namespace {
 
 enum class framing {
   kLength,  ///< The head states the length of the bytes behind it.
+  kChunk,   ///< The bytes are one chunk.
   kNone,
 };
 
@@ -47,6 +50,11 @@
   switch (row.body) {
     case framing::kLength:
       return head + "Content-Length: " + std::to_string(imitation.size()) + "\r\n\r\n" + imitation;
+    case framing::kChunk: {
+      std::ostringstream size;
+      size << std::hex << imitation.size();
+      return head + "\r\n" + size.str() + "\r\n" + imitation + "\r\n0\r\n\r\n";
+    }
     case framing::kNone:
       return head + "\r\n" + imitation;
   }
@@ -94,5 +102,19 @@
                           }),
                           std::function(CheckRefused));
 
+const test_table kCodings(
+    "answer in a transfer coding that is not chunked alone",
+    OnEachConnection({
+        {"gzip", "200 OK", "Transfer-Encoding: gzip\r\n", framing::kNone},
+        {"gzip and a length", "200 OK", "Transfer-Encoding: gzip\r\n"},
+        {"gzip in chunks", "200 OK", "Transfer-Encoding: gzip, chunked\r\n", framing::kChunk},
+        {"gzip in chunks, in two fields", "200 OK",
+         "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n", framing::kChunk},
+        {"gzip of chunks", "200 OK", "Transfer-Encoding: chunked, gzip\r\n", framing::kNone},
+        {"none", "200 OK", "Transfer-Encoding:\r\n", framing::kNone},
+        {"gzip, of a failure", "404 No", "Transfer-Encoding: gzip\r\n", framing::kNone},
+    }),
+    std::function(CheckRefused));
+
 }  // namespace
 }  // namespace corianderhoist
