Test that answers with invalid field lines are refused

No change of the product: the system handles these cases. An answer in whose head or trailer the name of a field holds a blank, a control byte or another byte that is not part of a token, or whose value holds a control byte, is broken for Beast's parser: 502, and no line is passed on.

--- a/tests/unit/serving/broken_answer_test.cpp
+++ b/tests/unit/serving/broken_answer_test.cpp
@@ -116,5 +116,31 @@
     }),
     std::function(CheckRefused));
 
+const test_table kFieldNames("answer with an invalid field line",
+                             OnEachConnection({
+                                 {"a blank in the name", "200 OK", "X Y: 1\r\n"},
+                                 {"a tab in the name", "200 OK", "X\tY: 1\r\n"},
+                                 {"a control byte in the name", "200 OK", "X\x01Y: 1\r\n"},
+                                 {"NUL in the name", "200 OK", std::string("X\0Y: 1\r\n", 8)},
+                                 {"DEL in the name", "200 OK", "X\x7fY: 1\r\n"},
+                                 {"CR in the name", "200 OK", "X\rY: 1\r\n"},
+                                 {"LF in the name", "200 OK", "X\nY: 1\r\n"},
+                                 {"a byte above 0x7f in the name", "200 OK", "X\xe9Y: 1\r\n"},
+                                 {"a parenthesis in the name", "200 OK", "X(Y): 1\r\n"},
+                                 {"no name", "200 OK", ": 1\r\n"},
+                                 {"no colon", "200 OK", "X\r\n"},
+                                 {"a blank before the colon", "200 OK", "X : 1\r\n"},
+                                 {"a blank before the colon of the length", "200 OK",
+                                  "Content-Length : 1\r\n", framing::kNone},
+                                 {"a blank before the colon of the coding", "200 OK",
+                                  "Transfer-Encoding : chunked\r\n", framing::kChunk},
+                                 {"a blank before the first name", "200 OK", " X: 1\r\n"},
+                                 {"a control byte in the value", "200 OK", "X: \x01\r\n"},
+                                 {"NUL in the value", "200 OK", std::string("X: \0\r\n", 6)},
+                                 {"CR in the value", "200 OK", "X: 1\r2\r\n"},
+                                 {"LF in the value", "200 OK", "X: 1\n2\r\n"},
+                             }),
+                             std::function(CheckRefused));
+
 }  // namespace
 }  // namespace corianderhoist
