--- a/tests/process/upstream_answer_test.cpp
+++ b/tests/process/upstream_answer_test.cpp
@@ -74,6 +74,21 @@
         {"an answer with two ids, the first its own",
          [](const std::string& id) { return Answer(IdField(id) + IdField("other"), "other"); },
          502},
+        {"a head with status 000",
+         [](const std::string&) {
+           return std::string("HTTP/1.1 000 None\r\nContent-Length: 9\r\n\r\n");
+         },
+         502},
+        {"an interim answer that announces a body",
+         [](const std::string&) {
+           return std::string("HTTP/1.1 100 Continue\r\nContent-Length: 9\r\n\r\n");
+         },
+         502},
+        {"an answer with a blank in the name of a field",
+         [](const std::string& id) {
+           return "HTTP/1.1 200 OK\r\nX Y: 1\r\n" + IdField(id) + "Content-Length: 2\r\n\r\nno";
+         },
+         502},
         {"an interim answer",
          [](const std::string&) { return std::string("HTTP/1.1 100 Continue\r\n\r\n"); }, 200},
     },
