Keep no connection on which a part of the request was dropped

Cause: the same failed send. tcp_stream drops the bytes that are left, so that Unsent() is 0, which upstream_call takes for a body that was sent. If the answer was complete, the broken connection went back to the connections that are kept, until the loop read its end. A request that takes it before then fails without having been sent to a sound upstream: 502 where it must not run twice.

Change: tcp_stream::HasDroppedBytes says so, and Finish asks it. The end that a failed send has shown is kept in the same member, and nothing is sent after it.

--- a/src/net/tcp_stream.cpp
+++ b/src/net/tcp_stream.cpp
@@ -119,7 +119,7 @@
     return;
   }
   if (count <= 0) {
-    End(count == 0 && !was_reset_ ? stream_end::kFinished : stream_end::kReset);
+    End(count == 0 ? end_seen_by_send_.value_or(stream_end::kFinished) : stream_end::kReset);
     return;
   }
   if (events_.on_bytes) {
@@ -160,7 +160,7 @@
 }
 
 void tcp_stream::Write(std::string_view bytes) {
-  if (has_ended_) {
+  if (has_ended_ || end_seen_by_send_) {
     return;
   }
   pending_.append(bytes);
@@ -183,7 +183,7 @@
         // `OnReadable` reports the end after the remaining incoming bytes. The failed `send` has
         // cleared the error of the socket, so that `recv` then returns 0 as after a regular close.
         // The error is `EPIPE` only if a regular close was received before the reset.
-        was_reset_ = was_reset_ || errno != EPIPE;
+        end_seen_by_send_ = errno == EPIPE ? stream_end::kFinished : stream_end::kReset;
         pending_.clear();
         pending_start_ = 0;
       }
--- a/src/net/tcp_stream.h
+++ b/src/net/tcp_stream.h
@@ -13,6 +13,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -54,6 +55,9 @@
   void Write(std::string_view bytes);
   /// Number of bytes that the kernel has not accepted yet.
   std::size_t Unsent() const { return pending_.size() - pending_start_; }
+  /// Whether written bytes were dropped because a send failed. No more are sent; `on_end` follows
+  /// once the received bytes are read.
+  bool HasDroppedBytes() const { return end_seen_by_send_.has_value(); }
   /// Pauses or resumes reading. While paused, the end of the connection is not detected.
   void PauseReading(bool is_paused);
   /// Shuts down the sending side once all buffered bytes are sent.
@@ -76,10 +80,10 @@
   std::unique_ptr<QSocketNotifier> write_notifier_;
   std::string pending_;
   std::size_t pending_start_ = 0;
-  buffer_hold hold_;  ///< Of `pending_`.
+  buffer_hold hold_;                            ///< Of `pending_`.
+  std::optional<stream_end> end_seen_by_send_;  ///< Set when a send has failed.
   bool is_connected_ = false;
   bool is_finishing_ = false;
-  bool was_reset_ = false;  ///< Known from a failed send, before all received bytes are read.
   bool has_ended_ = false;
   std::shared_ptr<bool> is_alive_ = std::make_shared<bool>(true);
 };
--- a/src/serving/upstream_call.cpp
+++ b/src/serving/upstream_call.cpp
@@ -466,7 +466,8 @@
     return;
   }
   const bool is_complete = result == call_result::kAnswered || result == call_result::kNotExecuted;
-  const bool is_body_sent = is_body_complete_ && stream_ && stream_->Unsent() == 0;
+  const bool is_body_sent =
+      is_body_complete_ && stream_ && stream_->Unsent() == 0 && !stream_->HasDroppedBytes();
   Release(is_complete && is_keep_alive_ && is_body_sent && incoming_.empty());
   if (events_.on_end) {
     const auto on_end = std::move(events_.on_end);
--- a/tests/unit/serving/upstream_call_test.cpp
+++ b/tests/unit/serving/upstream_call_test.cpp
@@ -34,22 +34,12 @@
     auto ended = std::make_shared<std::promise<call_result>>();
     auto result = ended->get_future();
     loop_.RunAndWait([&] {
-      call_plan plan;
-      plan.upstream = 1;
-      plan.address = {"127.0.0.1", port_};
-      plan.request_line = "GET /safe/1";
-      plan.headers = {{names_.attempt_id, id}};
-      plan.attempt_id = id;
-      plan.body_length = 0;
-      plan.deadline = clock_.Now() + std::chrono::seconds(10);
-      plan.connect_timeout = milliseconds(1000);
-      plan.max_idle_time = milliseconds(1000);
       upstream_call::events events;
       events.on_sent = std::move(on_sent);
       events.on_body = [this, is_paused](std::string_view) { call_->Pause(is_paused); };
       events.on_end = [ended](call_result end, const std::string&) { ended->set_value(end); };
-      call_ =
-          std::make_shared<upstream_call>(connections_, names_, clock_, plan, std::move(events));
+      call_ = std::make_shared<upstream_call>(connections_, names_, clock_, PlanOf(id, 0),
+                                              std::move(events));
       call_->FinishBody();
       call_->Start();
     });
@@ -59,7 +49,49 @@
     return result.get();
   }
 
+  /// Starts an upload whose response is not read yet. At its end `on_end` gets the result and the
+  /// number of connections that are kept.
+  void StartUpload(std::size_t bytes, std::function<void(call_result, std::size_t)> on_end) {
+    loop_.RunAndWait([&] {
+      upstream_call::events events;
+      events.on_end = [this, on_end = std::move(on_end)](call_result end, const std::string&) {
+        on_end(end, connections_.Size());
+      };
+      call_ = std::make_shared<upstream_call>(connections_, names_, clock_, PlanOf("upload", bytes),
+                                              std::move(events));
+      call_->SendBody(std::string(bytes, 'b'));
+      call_->FinishBody();
+      call_->Start();
+    });
+  }
+  /// Waits until the rest of the upload is sent or dropped, and then reads the response.
+  void ReadResponse() {
+    std::size_t unsent = 1;
+    while (unsent > 0) {
+      loop_.RunAndWait([&] { unsent = call_->Unsent(); });
+    }
+    loop_.RunAndWait([this] { call_->Pause(false); });
+  }
+  void PauseReading() {
+    loop_.RunAndWait([this] { call_->Pause(true); });
+  }
+
  private:
+  call_plan PlanOf(const std::string& id, std::size_t body_bytes) const {
+    call_plan plan;
+    plan.upstream = 1;
+    plan.address = {"127.0.0.1", port_};
+    plan.request_line = body_bytes == 0 ? "GET /safe/1" : "PUT /safe/1";
+    plan.headers = {{names_.attempt_id, id}};
+    plan.attempt_id = id;
+    plan.has_body = body_bytes > 0;
+    plan.body_length = body_bytes;
+    plan.deadline = clock_.Now() + std::chrono::seconds(10);
+    plan.connect_timeout = milliseconds(1000);
+    plan.max_idle_time = milliseconds(1000);
+    return plan;
+  }
+
   const std::uint16_t port_;
   const clock_source& clock_;
   const upstream_header_names names_ = platform::UpstreamHeaderNames();
@@ -135,6 +167,33 @@
                                                 upstream.Requests().back().connection);
                          }));
 
+const test_table kFailedSend(
+    "upstream call",
+    "a connection is not kept after a part of the body was dropped",
+    [] {
+      std::promise<void> has_arrived;
+      std::promise<void> may_answer;
+      scripted_upstream upstream([&](const scripted_request& request) {
+        has_arrived.set_value();
+        may_answer.get_future().wait();
+        return scripted_answer{SignedAnswer(request, 200, "ok"), after_answer::kReset};
+      });
+      upstream.SetEarlyAnswers([](const scripted_request&) { return true; });
+      upstream.UseSlowLink();
+      call_maker calls(upstream.Port());
+      std::promise<std::pair<call_result, std::size_t>> ended;
+      calls.StartUpload(1'000'000, [&](call_result end, std::size_t kept) {
+        ended.set_value({end, kept});
+      });
+      has_arrived.get_future().wait();
+      calls.PauseReading();
+      may_answer.set_value();
+      calls.ReadResponse();
+      const auto [end, kept] = ended.get_future().get();
+      CPPUNIT_ASSERT(end == call_result::kAnswered);
+      CPPUNIT_ASSERT_EQUAL(std::size_t(0), kept);
+    });
+
 const test_table
     kManyRequests("upstream call", "the ids that a connection remembers are bounded", [] {
       scripted_upstream upstream([](const scripted_request& request) {
