--- a/tests/unit/net/tcp_stream_test.cpp
+++ b/tests/unit/net/tcp_stream_test.cpp
@@ -117,7 +117,7 @@
       address.sin_family = AF_INET;
       address.sin_port = htons(port);
       address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-      ::connect(peer, reinterpret_cast<sockaddr*>(&address), sizeof(address));
+      const int connected = ::connect(peer, reinterpret_cast<sockaddr*>(&address), sizeof(address));
       pollfd reset{accepted.get_future().get(), 0, 0};
       pollfd upload{peer, POLLIN, 0};
       ::poll(&upload, 1, kPollTimeoutMs);
@@ -135,6 +135,7 @@
         stream.reset();
         listener.reset();
       });
+      CPPUNIT_ASSERT_EQUAL(0, connected);
       CPPUNIT_ASSERT_EQUAL(1, resets);
       CPPUNIT_ASSERT_EQUAL(std::string("part"), received);
       CPPUNIT_ASSERT(reason == row.expected);
